--- a/basaltreel/benchlink.py
+++ b/maplestile/benchlink.py
@@ -6,10 +6,10 @@
 from collections.abc import Iterator
 from typing import Any, TextIO
 
-from basaltreel import interface as api
-from basaltreel.decide import Dispatcher
+from maplestile import interface as api
+from maplestile import settings
+from maplestile.decide import Dispatcher
 
-EFFECTS = {"free": api.Effect.SAFE, "guarded": api.Effect.KEYED, "single_shot": api.Effect.UNSAFE}
 STATES = {
     "Running": api.WorkerState.RUNNING,
     "Stopping": api.WorkerState.DRAINING,
@@ -86,53 +86,11 @@
 
 def settings_from(text: str) -> api.Settings:
     try:
-        told = json.loads(text)
-        limits, rules, fam = told["limits"], told["guarantees"], told.get("familyInfo", {})
-        return api.Settings(
-            classes=tuple(_class_from(grade) for grade in told["grades"]),
-            dispatchers=told["instances"],
-            zone=told.get("zone", ""),
-            tick_us=told["granularityUs"],
-            must_ask_for_list=told.get("discovery") == "ask",
-            may_order=fam.get("orders", False),
-            loads_on_miss=fam.get("whenAbsent", "load") == "load",
-            keep_us=fam.get("lingerIdleUs", 0),
-            kind_memory_mb=tuple(zip(told.get("kinds", []), fam.get("machineMb", []), strict=False)),
-            order_timeout_us=fam.get("answerWithinUs", 0),
-            order_window_us=fam.get("loadsWithinUs", 0),
-            orders_free=fam.get("loadFree", 0),
-            orders_per_call=fam.get("loadShare", 0),
-            max_attempts=limits["attemptsCap"],
-            may_cancel=limits["cancelling"],
-            may_duplicate=limits["mayDuplicate"],
-            may_probe=limits["probes"],
-            answer_slack_us=rules["answerSlackUs"],
-            drain_grace_us=rules["drainGraceUs"],
-            cold_share=rules["startCapacity"],
-            cold_us=rules["coldUs"],
-            fall_multiple=rules["fallMultiple"],
-            fall_us=rules["overloadForUs"],
-        )
+        return settings.settings_from(json.loads(text))
     except json.JSONDecodeError:
         raise WireError("BEGIN: field 'params' is no JSON object") from None
-    except KeyError as missing:
-        raise WireError(f"BEGIN: field 'params' lacks {missing}") from None
-    except (TypeError, AttributeError, ValueError) as fault:
-        raise WireError(f"BEGIN: field 'params' is not as told: {fault}") from None
-
-
-def _class_from(grade: dict[str, Any]) -> api.CallClass:
-    if grade["semantics"] not in EFFECTS:
-        raise WireError(f"BEGIN: field 'params' has the unknown semantics '{grade['semantics']}'")
-    return api.CallClass(
-        name=grade["name"],
-        aim_us=grade["aimUs"],
-        deadline_us=grade["deadlineUs"],
-        effect=EFFECTS[grade["semantics"]],
-        scope=api.Scope(grade.get("keyScope", "all")),
-        window_us=grade.get("windowUs", 0),
-        late_worth=grade.get("lateValue", 0.0),
-    )
+    except settings.SettingsError as fault:
+        raise WireError(f"BEGIN: field 'params' {fault}") from None
 
 
 def entry_from(line: str) -> api.WorkerEntry:
--- /dev/null
+++ b/maplestile/core.py
@@ -0,0 +1,307 @@
+"""Requests, attempts and outcomes: the one dispatcher, its events, its actions and its timers.
+
+The core knows no socket and no wire. It is told the time by `clock`, asks to be woken through `alarm`, acts
+through a `Pool`, and gives each request exactly one final answer through the callable that came with it."""
+
+import heapq
+import logging
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from maplestile import interface as api
+from maplestile.decide import Dispatcher
+from maplestile.interface import Result
+from maplestile.limits import Limits
+
+log = logging.getLogger(__name__)
+AttemptId = tuple[int, int]
+Report = tuple[tuple[str, float], ...]
+
+
+class Verdict(Enum):
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+    EXPIRED = "expired"  # failed because its time ran out
+
+
+@dataclass(slots=True, frozen=True)
+class Request:
+    """What a caller asks for; `tag` names this try, `key` is the idempotency key of keyed classes."""
+
+    tag: str
+    function: str
+    class_name: str
+    budget_us: int
+    memory_mb: float = 0.0
+    lanes: int = 1
+    cost_us: int = 0
+    tenant: str = ""
+    repeat: bool = False
+    key: str = ""
+    body: bytes = b""
+
+
+@dataclass(slots=True, frozen=True)
+class Outcome:
+    verdict: Verdict
+    body: bytes = b""
+    retry_after_us: int = 0
+    ran: bool = False  # an attempt may have run
+
+
+class Pool(Protocol):
+    """What the core needs of the workers' side; ends come back through the core's `*_ended` methods."""
+
+    def send(self, attempt: AttemptId, worker: str, request: Request, wait_us: int) -> None: ...
+    def cancel(self, attempt: AttemptId) -> None: ...
+    def order(self, tag: int, worker: str, function: str, copies: int) -> None: ...
+    def unload(self, worker: str, function: str) -> None: ...
+    def probe(self, tag: int, worker: str) -> None: ...
+    def forget(self, tag: int) -> None: ...
+    def close_idle(self, worker: str) -> None: ...
+
+
+@dataclass(slots=True)
+class Open:
+    """A request that is owed its final answer."""
+
+    request: Request
+    due_us: int
+    answer: Callable[[Outcome], None]
+    attempts: int = 0
+    ran: bool = False
+
+
+@dataclass(slots=True)
+class Flight:
+    worker: str
+    sent_us: int
+
+
+@dataclass(slots=True)
+class Errand:
+    """An order to load or a probe on its way."""
+
+    worker: str
+    function: str
+    sent_us: int
+
+
+NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)
+
+
+@dataclass(slots=True)
+class Core:
+    settings: api.Settings
+    limits: Limits
+    seed: int
+    pool: Pool
+    clock: Callable[[], int]
+    alarm: Callable[[int], None]
+    counters: Counter[str] = field(default_factory=Counter)
+    dispatcher: Dispatcher = field(init=False)
+    open: dict[int, Open] = field(default_factory=dict)
+    flights: dict[AttemptId, Flight] = field(default_factory=dict)
+    errands: dict[int, Errand] = field(default_factory=dict)
+    events: deque[api.Event] = field(default_factory=deque)
+    timers: list[tuple[int, int, Callable[[], None]]] = field(default_factory=list)
+    number: int = 0
+    armed_us: int = 0
+    acting: bool = False
+
+    def __post_init__(self) -> None:
+        self.dispatcher = Dispatcher(self.settings, self.seed)
+
+    # What the fronts call.
+
+    def submit(self, request: Request, received_us: int, answer: Callable[[Outcome], None]) -> int:
+        """Take a request whose last byte came at `received_us`; its answer may come before this returns."""
+        self.number += 1
+        call, now = self.number, self.clock()
+        self.counters["requests.taken"] += 1
+        # The client's time runs from the last byte, not from when a busy loop got to it.
+        due_us = received_us + request.budget_us
+        self.open[call] = Open(request, due_us, answer)
+        if len(self.open) > self.limits.open_requests:  # guards memory against a flood
+            self._finish(call, Outcome(Verdict.REFUSED, retry_after_us=self.limits.max_retry_after_us))
+            return call
+        self.at(due_us, lambda: self._overdue(call))
+        self.give(
+            api.CallArrived(
+                call, request.function, request.class_name, max(0, due_us - now), request.memory_mb,
+                request.lanes, request.cost_us, request.tenant, request.repeat,
+            )
+        )  # fmt: skip
+        return call
+
+    def withdraw(self, call: int) -> None:
+        """The client waits no longer: nothing is owed, and what is out is called off by the module."""
+        if self.open.pop(call, None) is not None:
+            self.counters["requests.withdrawn"] += 1
+            self.give(api.CallExpired(call))
+
+    # What the pool and the name server's driver call.
+
+    def list_changed(self, event: api.WorkerList) -> None:
+        self.counters["lists.taken"] += 1
+        self.give(event)
+
+    def attempt_ended(
+        self, attempt: AttemptId, result: Result, body: bytes = b"", alike: int = 0, report: Report = ()
+    ) -> None:
+        flight = self.flights.pop(attempt, None)
+        if flight is None:  # late: timed out, called off, or ended before
+            self.counters["attempts.late"] += 1
+            return
+        self.counters[f"attempts.{result.value}"] += 1
+        call = self.open.get(attempt[0])
+        if call is not None and result not in NEVER_RAN:
+            call.ran = True
+        if call is not None and result is Result.OK:
+            self._finish(attempt[0], Outcome(Verdict.SERVED, body, ran=True))
+        elapsed_us = max(0, self.clock() - flight.sent_us)
+        ended = attempt[0] not in self.open
+        warmth = api.Warmth.UNTOLD
+        self.give(
+            api.AttemptEnded(*attempt, flight.worker, result, elapsed_us, ended, warmth, alike, report)
+        )
+
+    def order_ended(self, tag: int, result: Result, copies: int = 0) -> None:
+        errand = self.errands.pop(tag, None)
+        if errand is None:
+            return
+        self.counters[f"orders.{result.value}"] += 1
+        elapsed_us = max(0, self.clock() - errand.sent_us)
+        self.give(api.OrderEnded(errand.worker, errand.function, result, elapsed_us, copies))
+
+    def probe_ended(self, tag: int, result: Result, report: Report = ()) -> None:
+        errand = self.errands.pop(tag, None)
+        if errand is not None:
+            self.counters[f"probes.{result.value}"] += 1
+            elapsed_us = max(0, self.clock() - errand.sent_us)
+            self.give(api.ProbeEnded(errand.worker, result, elapsed_us, report))
+
+    # Time.
+
+    def at(self, due_us: int, then: Callable[[], None]) -> None:
+        self.number += 1
+        heapq.heappush(self.timers, (due_us, self.number, then))
+
+    def tick(self) -> None:
+        """Run what is due; the driver calls this when the alarm goes off."""
+        self.armed_us = 0
+        now = self.clock()
+        while self.timers and self.timers[0][0] <= now:
+            heapq.heappop(self.timers)[2]()
+        self._arm()
+
+    def _arm(self) -> None:
+        if self.timers and not 0 < self.armed_us <= self.timers[0][0]:
+            self.armed_us = self.timers[0][0]
+            self.alarm(self.armed_us)
+
+    # Events in, actions out.
+
+    def give(self, event: api.Event) -> None:
+        """Hand an event to the module; an event that an action brings about waits for the action's turn."""
+        self.events.append(event)
+        if self.acting:
+            return
+        self.acting = True
+        try:
+            while self.events:
+                for action in self.dispatcher.handle(self.clock(), self.events.popleft()):
+                    self._act(action)
+        finally:
+            self.acting = False
+        self._arm()
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(action)
+            case api.SetTimer(due_us, token):
+                self.at(due_us, lambda: self.give(api.TimerDue(token)))
+            case api.Refuse(call, retry_after_us):
+                self._finish(call, Outcome(Verdict.REFUSED, retry_after_us=retry_after_us))
+            case api.Fail(call):
+                self._fail(call)
+            case api.Cancel(call, attempt):
+                if (call, attempt) in self.flights:
+                    self.pool.cancel((call, attempt))
+                    self.attempt_ended((call, attempt), Result.CANCELLED)
+            case api.Order(worker, function, copies):
+                tag = self._errand(worker, function, self.limits.order_timeout_us, self.order_ended)
+                self.counters["orders.sent"] += 1
+                self.pool.order(tag, worker, function, copies)
+            case api.Unload(worker, function):
+                self.counters["unloads.sent"] += 1
+                self.pool.unload(worker, function)
+            case api.Probe(worker):
+                tag = self._errand(worker, "", self.limits.probe_timeout_us, self.probe_ended)
+                self.counters["probes.sent"] += 1
+                self.pool.probe(tag, worker)
+            case api.CloseIdle(worker):
+                self.pool.close_idle(worker)
+            case api.Log(text):
+                log.info("module: %s", text)
+            case api.WatchList() | api.FetchList() | api.Tell():
+                # The list is polled all the time, and there is no way to talk to other routers.
+                self.counters["actions.without_effect"] += 1
+
+    def _send(self, action: api.Send) -> None:
+        call, now = self.open.get(action.call), self.clock()
+        if call is None:
+            return  # the module knows that this call is over
+        attempt = (action.call, call.attempts)
+        call.attempts += 1
+        wait_us = min(action.timeout_us or call.due_us - now, call.due_us - now)
+        self.flights[attempt] = Flight(action.worker, now)
+        self.counters["attempts.sent"] += 1
+        self.at(now + max(0, wait_us), lambda: self._timed_out(attempt))
+        self.pool.send(attempt, action.worker, call.request, max(1, wait_us))
+
+    def _timed_out(self, attempt: AttemptId) -> None:
+        if attempt in self.flights:
+            self.pool.cancel(attempt)
+            self.attempt_ended(attempt, Result.TIMEOUT)
+
+    def _errand(
+        self, worker: str, function: str, wait_us: int, ended: Callable[[int, Result], None]
+    ) -> int:
+        self.number += 1
+        tag, now = self.number, self.clock()
+        self.errands[tag] = Errand(worker, function, now)
+
+        def unheard() -> None:
+            if tag in self.errands:
+                self.pool.forget(tag)
+                ended(tag, Result.TIMEOUT)
+
+        self.at(now + wait_us, unheard)
+        return tag
+
+    def _overdue(self, call: int) -> None:
+        """Guards the rule of one answer in time, should the module not have answered by the deadline."""
+        if call in self.open:
+            self.counters["requests.overdue"] += 1
+            self._fail(call)
+            self.give(api.CallExpired(call))
+
+    def _fail(self, call: int) -> None:
+        owed = self.open.get(call)
+        if owed is not None:
+            # The module answers a few ticks before the deadline; that, too, is time run out.
+            over = self.clock() >= owed.due_us - 8 * self.settings.tick_us
+            self._finish(call, Outcome(Verdict.EXPIRED if over else Verdict.FAILED, ran=owed.ran))
+
+    def _finish(self, call: int, outcome: Outcome) -> None:
+        """The one way to a final answer; a second one for the same call goes nowhere."""
+        owed = self.open.pop(call, None)
+        if owed is not None:
+            self.counters[f"answers.{outcome.verdict.value}"] += 1
+            owed.answer(outcome)
--- a/basaltreel/decide.py
+++ b/maplestile/decide.py
@@ -1,4 +1,4 @@
-"""Every decision of basaltreel; the types it takes and returns stand in basaltreel/interface.py.
+"""Every decision of maplestile; the types it takes and returns stand in maplestile/interface.py.
 
 ADC's mechanism (paper, section 3) as the design page turns it; docs/design.md says what was added and why."""
 
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 from random import Random
 
-from basaltreel import interface as api
-from basaltreel.interface import Effect, ListKind, Result, Scope, Warmth, WorkerState
-from basaltreel.state import CACHING, MULTIPLE, NOWHERE, SINGLE, Attempt, Call, Copy, Row, Window, Worker
+from maplestile import interface as api
+from maplestile.interface import Effect, ListKind, Result, Scope, Warmth, WorkerState
+from maplestile.state import CACHING, MULTIPLE, NOWHERE, SINGLE, Attempt, Call, Copy, Row, Window, Worker
 
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)  # the wire's proofs
 BAD = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)  # symptoms of an unwell worker
--- /dev/null
+++ b/maplestile/fleet.py
@@ -0,0 +1,79 @@
+"""The list of runners as told so far, by start-up events or by whole lists, with their addresses."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from maplestile import interface as api
+
+Address = tuple[str, int]
+STATES = {
+    "Ready": api.WorkerState.RUNNING,
+    "Terminating": api.WorkerState.DRAINING,
+    "Gone": api.WorkerState.GONE,
+}
+
+
+class FleetError(Exception):
+    """An event that cannot be used; the text names the field."""
+
+
+@dataclass(slots=True)
+class Fleet:
+    """`version` counts the events of the name server; a list no newer than it is old news."""
+
+    version: int = -1
+    entries: dict[str, api.WorkerEntry] = field(default_factory=dict)
+    addresses: dict[str, Address] = field(default_factory=dict)
+
+    def apply_known(self, known: Mapping[str, Any]) -> None:
+        """The events of the start: the first one holds the whole list, later ones what has changed."""
+        try:
+            for update in known["updates"]:
+                told = update["endpoints"]
+                if told.get("all"):
+                    self.entries.clear()
+                    self.addresses.clear()
+                for target in told["targets"]:
+                    self._put(*_target(target))
+                self.version = max(self.version, int(update["index"]))
+            self.version = max(self.version, int(known.get("index", self.version)))
+        except KeyError as missing:
+            raise FleetError(f"known: field {missing} is missing or unknown") from None
+        except (TypeError, ValueError, AttributeError) as fault:
+            raise FleetError(f"known: {fault}") from None
+
+    def apply_whole(self, version: int, listed: Iterable[tuple[api.WorkerEntry, Address]]) -> bool:
+        """A whole list; true if it was news. A late reply to an older query must not bring back the dead."""
+        if version <= self.version:
+            return False
+        self.version = version
+        self.entries.clear()
+        self.addresses.clear()
+        for entry, address in listed:
+            self._put(entry, address)
+        return True
+
+    def _put(self, entry: api.WorkerEntry, address: Address) -> None:
+        if entry.state is api.WorkerState.GONE:
+            self.entries.pop(entry.worker, None)
+            self.addresses.pop(entry.worker, None)
+        else:
+            self.entries[entry.worker], self.addresses[entry.worker] = entry, address
+
+    def event(self, kind: api.ListKind = api.ListKind.FULL) -> api.WorkerList:
+        return api.WorkerList(kind, self.version, tuple(self.entries.values()))
+
+
+def _target(told: Mapping[str, Any]) -> tuple[api.WorkerEntry, Address]:
+    host, _, port = str(told.get("endpoint", "")).rpartition(":")
+    entry = api.WorkerEntry(
+        worker=told["uid"],
+        zone=told.get("az", ""),
+        kind=told.get("model", ""),
+        cell=int(told.get("pod_group", 0)),
+        state=STATES[told.get("state", "Ready")],
+        weight=float(told.get("capacity_hint", 1.0)),
+        started_us=int(told.get("boot_ms", 0)) * 1000,
+    )
+    return entry, (host, int(port or 0))
--- a/basaltreel/interface.py
+++ b/maplestile/interface.py
@@ -1,4 +1,4 @@
-"""The types that `basaltreel.decide` takes and returns; all times are whole microseconds, sizes megabytes."""
+"""The types that `maplestile.decide` takes and returns; all times are whole microseconds, sizes megabytes."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -95,6 +95,12 @@
     cold_us: int
     fall_multiple: float
     fall_us: int
+    # What only the network side needs.
+    streams_per_connection: int = 32
+    idle_close_us: int = 0
+    connect_timeout_us: int = 0
+    max_open: int = 0
+    tenants: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/maplestile/net/runners.py
@@ -0,0 +1,288 @@
+"""The runner pool: connections by uid, requests spread over their streams, answers handed to the core.
+
+A send may wait for its connection or behind a full socket buffer. So what a rule asks of a send is checked
+where it is written, not where it was decided."""
+
+import asyncio
+import logging
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from maplestile.core import AttemptId, Core, Request
+from maplestile.fleet import Address, Fleet
+from maplestile.interface import Result, WorkerState
+from maplestile.limits import Limits
+from maplestile.wire import runner as wire
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Message:
+    """One line to a runner. `fresh` marks what may not go to a runner that drains."""
+
+    line: bytes
+    fresh: bool
+    attempt: AttemptId | None = None
+    tag: str = ""
+    order: int = 0
+    probe: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Connection:
+    runner: "Runner"
+    opened_us: int
+    used_us: int
+    writer: asyncio.StreamWriter | None = None
+    queue: deque[Message] = field(default_factory=deque)
+    open: dict[str, AttemptId] = field(default_factory=dict)
+    errands: dict[str, tuple[int, bool]] = field(default_factory=dict)  # tag to number, and whether a probe
+    full: bool = False
+    closed: bool = False
+    task: asyncio.Task[None] | None = None
+
+    def streams(self) -> int:
+        return len(self.open) + len(self.errands) + len(self.queue)
+
+
+@dataclass(slots=True, eq=False)
+class Runner:
+    uid: str
+    address: Address
+    started_us: int
+    takes_new: bool
+    listed: bool = True
+    connections: list[Connection] = field(default_factory=list)
+
+
+class Runners:
+    """The core's pool on sockets."""
+
+    def __init__(self, limits: Limits, clock: Callable[[], int], counters: Counter[str]) -> None:
+        self.limits, self.clock, self.counters = limits, clock, counters
+        self.core: Core
+        self.runners: dict[str, Runner] = {}
+        self.where: dict[AttemptId, tuple[Connection, Message]] = {}
+        self.connections = 0
+
+    # The list.
+
+    def update(self, fleet: Fleet) -> None:
+        for uid, entry in fleet.entries.items():
+            takes_new, address = entry.state is WorkerState.RUNNING, fleet.addresses[uid]
+            runner = self.runners.get(uid)
+            if runner is None:
+                self.runners[uid] = Runner(uid, address, entry.started_us, takes_new)
+                continue
+            runner.listed, runner.takes_new = True, takes_new
+            if entry.started_us > runner.started_us or address != runner.address:
+                # A process that is no more: on a connection to it nobody would ever answer.
+                runner.started_us, moved = entry.started_us, address != runner.address
+                runner.address = address
+                for connection in list(runner.connections):
+                    if moved or connection.opened_us < entry.started_us:
+                        self._close(connection, Result.RESET)
+        for uid in [u for u in self.runners if u not in fleet.entries]:
+            runner = self.runners[uid]
+            runner.listed = runner.takes_new = False
+            for connection in list(runner.connections):
+                if not connection.streams():
+                    self._close(connection, Result.RESET)
+            if not runner.connections:
+                del self.runners[uid]
+
+    # What the core asks for.
+
+    def send(self, attempt: AttemptId, worker: str, request: Request, wait_us: int) -> None:
+        message = Message(wire.call(request, wait_us), True, attempt, request.tag)
+        if not self._put(worker, message):
+            self.core.attempt_ended(attempt, Result.CONNECT_FAILED)
+
+    def cancel(self, attempt: AttemptId) -> None:
+        connection, message = self.where.pop(attempt, (None, None))
+        if connection is None or message is None:
+            return
+        if message in connection.queue:  # never written: nothing to call off
+            connection.queue.remove(message)
+            return
+        del connection.open[message.tag]
+        self._write(connection, Message(wire.cancel(message.tag), False))
+
+    def order(self, tag: int, worker: str, function: str, copies: int) -> None:
+        name = f"load-{tag}"
+        message = Message(wire.load(name, function, copies), copies > 0, None, name, tag)
+        if not self._put(worker, message):
+            self.core.order_ended(tag, Result.CONNECT_FAILED)
+
+    def unload(self, worker: str, function: str) -> None:
+        self._put(worker, Message(wire.unload(function), False))
+
+    def probe(self, tag: int, worker: str) -> None:
+        name = f"probe-{tag}"
+        if not self._put(worker, Message(wire.stats(name), False, None, name, tag, True)):
+            self.core.probe_ended(tag, Result.CONNECT_FAILED)
+
+    def forget(self, tag: int) -> None:
+        for runner in self.runners.values():
+            for connection in runner.connections:
+                for name in (f"load-{tag}", f"probe-{tag}"):
+                    connection.errands.pop(name, None)
+
+    def close_idle(self, worker: str) -> None:
+        runner = self.runners.get(worker)
+        for connection in list(runner.connections) if runner else []:
+            if not connection.streams():
+                self._close(connection, Result.RESET)
+
+    def sweep(self) -> None:
+        """Close what lies idle before the runner does: a send that meets its close would be lost."""
+        now = self.clock()
+        for runner in list(self.runners.values()):
+            for connection in list(runner.connections):
+                idle = not connection.streams() and now - connection.used_us >= self.limits.runner_idle_us
+                if idle or (not runner.listed and not connection.streams()):
+                    self._close(connection, Result.RESET)
+            if not runner.listed and not runner.connections:
+                self.runners.pop(runner.uid, None)
+
+    # Connections.
+
+    def _put(self, worker: str, message: Message) -> bool:
+        runner = self.runners.get(worker)
+        if runner is None:
+            return False
+        connection = self._connection(runner, message.tag)
+        if connection is None or len(connection.queue) >= self.limits.runner_queue:
+            self.counters["runners.no_room"] += 1
+            return False
+        if message.attempt is not None:
+            self.where[message.attempt] = (connection, message)
+        self._write(connection, message)
+        return True
+
+    def _connection(self, runner: Runner, tag: str) -> Connection | None:
+        free = [
+            c for c in runner.connections if c.streams() < self.limits.runner_streams and tag not in c.open
+        ]
+        if free:  # the fullest first, so that the others can fall idle and be closed
+            return max(free, key=lambda c: (c.writer is not None, len(c.open)))
+        if self.connections >= self.limits.runner_connections:  # the descriptors are budgeted
+            return None
+        now = self.clock()
+        connection = Connection(runner, now, now)
+        runner.connections.append(connection)
+        self.connections += 1
+        self.counters["runners.connections"] += 1
+        connection.task = asyncio.get_running_loop().create_task(self._serve(connection))
+        return connection
+
+    async def _serve(self, connection: Connection) -> None:
+        end = Result.CONNECT_FAILED
+        try:
+            async with asyncio.timeout(self.limits.connect_timeout_us / 1e6):
+                reader, writer = await asyncio.open_connection(
+                    *connection.runner.address, limit=self.limits.read_bytes
+                )
+            connection.writer, end = writer, Result.RESET
+            writer.transport.set_write_buffer_limits(high=0)
+            self._flush(connection)
+            lines = wire.Lines(self.limits.runner_line_bytes)
+            while data := await reader.read(self.limits.read_bytes):
+                connection.used_us = self.clock()
+                for line in lines.feed(data):
+                    self._answer(connection, line)
+                self._flush(connection)
+        except wire.LineError as fault:
+            self.counters["runners.malformed"] += 1
+            log.warning("runner %s: %s", connection.runner.uid, fault)
+        except (OSError, TimeoutError) as fault:
+            log.debug("runner %s: %r", connection.runner.uid, fault)
+        finally:
+            self._close(connection, end)
+
+    def _write(self, connection: Connection, message: Message) -> None:
+        connection.queue.append(message)
+        self._flush(connection)
+
+    def _flush(self, connection: Connection) -> None:
+        """Write what the socket takes; what may no longer be sent ends here, unwritten."""
+        writer = connection.writer
+        if writer is None or connection.closed or connection.full:
+            return
+        while connection.queue:
+            message = connection.queue.popleft()
+            if message.fresh and not connection.runner.takes_new:
+                # Told of a drain since the decision: rule 3 binds at the moment of writing.
+                self.counters["runners.stale"] += 1
+                self._unsent(message, Result.MOOT)
+                continue
+            if message.attempt is not None:
+                connection.open[message.tag] = message.attempt
+            elif message.tag:
+                connection.errands[message.tag] = (message.order, message.probe)
+            writer.write(message.line)
+            connection.used_us = self.clock()
+            if writer.transport.get_write_buffer_size():
+                connection.full = True
+                asyncio.get_running_loop().create_task(self._drained(connection, writer))
+                return
+
+    async def _drained(self, connection: Connection, writer: asyncio.StreamWriter) -> None:
+        try:
+            await writer.drain()
+        except OSError:
+            return  # the reader sees the same end and closes
+        connection.full = False
+        self._flush(connection)
+
+    def _unsent(self, message: Message, result: Result) -> None:
+        if message.attempt is not None:
+            self.where.pop(message.attempt, None)
+            self.core.attempt_ended(message.attempt, result)
+        elif message.probe:
+            self.core.probe_ended(message.order, result)
+        elif message.order:
+            self.core.order_ended(message.order, Result.FULL if result is Result.MOOT else result)
+
+    def _answer(self, connection: Connection, line: memoryview) -> None:
+        try:
+            answer = wire.parse(line)
+        except wire.LineError as fault:
+            self.counters["runners.malformed"] += 1
+            log.warning("runner %s: an answer that cannot be used: %s", connection.runner.uid, fault)
+            return
+        attempt = connection.open.pop(answer.call, None)
+        errand = connection.errands.pop(answer.call, None)
+        if attempt is not None:
+            self.where.pop(attempt, None)
+            self.core.attempt_ended(attempt, answer.result, answer.body, answer.alike, answer.report)
+        elif errand is None:
+            self.counters["runners.late"] += 1
+        elif errand[1]:
+            self.core.probe_ended(errand[0], answer.result, answer.report)
+        else:
+            self.core.order_ended(errand[0], answer.result, answer.copies)
+
+    def _close(self, connection: Connection, result: Result) -> None:
+        """Close, and tell the core of all that was open: `result` if written, else it never ran."""
+        if connection.closed:
+            return
+        connection.closed = True
+        connection.runner.connections.remove(connection)
+        self.connections -= 1
+        if connection.writer is not None:
+            connection.writer.transport.abort()
+        if connection.task is not None and connection.task is not asyncio.current_task():
+            connection.task.cancel()
+        written, connection.open = connection.open, {}
+        errands, connection.errands = connection.errands, {}
+        unsent, connection.queue = connection.queue, deque()
+        for attempt in written.values():
+            self.where.pop(attempt, None)
+            self.core.attempt_ended(attempt, result)
+        for number, probe in errands.values():
+            (self.core.probe_ended if probe else self.core.order_ended)(number, result)
+        for message in unsent:
+            self._unsent(message, Result.CONNECT_FAILED)
--- /dev/null
+++ b/maplestile/net/stamps.py
@@ -0,0 +1,24 @@
+"""When the bytes at hand can have come at the earliest: a busy loop reads them later than that."""
+
+import selectors
+import time
+from collections.abc import Callable
+
+WAITED_S = 0.00005  # a select that took longer than this did wait, so what it found had just come
+
+
+class StampedSelector(selectors.DefaultSelector):
+    """Keeps the time from which on the events of the last select can have happened."""
+
+    def __init__(self, clock: Callable[[], int]) -> None:
+        super().__init__()
+        self.clock, self.since_us, self.returned_us = clock, clock(), clock()
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        began = time.perf_counter()
+        found = super().select(timeout)
+        now, waited = self.clock(), time.perf_counter() - began > WAITED_S
+        # Without a wait the event may be as old as the select before, whose work has kept the loop busy.
+        self.since_us = now if waited else self.returned_us
+        self.returned_us = now
+        return found
--- a/basaltreel/state.py
+++ b/maplestile/state.py
@@ -3,7 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from basaltreel.interface import CallClass, Result, WorkerEntry
+from maplestile.interface import CallClass, Result, WorkerEntry
 
 NOWHERE, SINGLE, MULTIPLE, CACHING = -1, 0, 1, 2  # the place of a row: the three lists in their order
 
--- /dev/null
+++ b/maplestile/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Protocols as state machines that are fed bytes and know no socket."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,7 +1,7 @@
 """Settings and events for tests; made up here, nothing comes from a deployment."""
 
-from basaltreel import interface as api
-from basaltreel.decide import Dispatcher
+from maplestile import interface as api
+from maplestile.decide import Dispatcher
 
 MS = 1000
 CLASSES = (
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -2,8 +2,8 @@
 
 from dataclasses import replace
 
-from basaltreel import interface as api
-from basaltreel.state import CACHING, MULTIPLE, SINGLE, Call, Worker
+from maplestile import interface as api
+from maplestile.state import CACHING, MULTIPLE, SINGLE, Call, Worker
 from tests.helpers import MS, Driver, arrival, ended, entry, finals, fleet, sends, settings
 
 WORKERS = [entry(f"w{i}") for i in range(4)]
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -7,8 +7,8 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-MODULE = ROOT / "basaltreel" / "decide.py"
-ALLOWED = {"basaltreel", "basaltreel.interface", "basaltreel.state", "collections.abc", "hashlib"}
+MODULE = ROOT / "maplestile" / "decide.py"
+ALLOWED = {"maplestile", "maplestile.interface", "maplestile.state", "collections.abc", "hashlib"}
 ALLOWED |= {"math", "random"}  # random is seeded with the dispatcher's own seed
 
 
@@ -16,7 +16,7 @@
     lines = MODULE.read_text().splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 400
     assert max(map(len, lines)) <= 110
-    assert "basaltreel/interface.py" in lines[0]
+    assert "maplestile/interface.py" in lines[0]
 
 
 def test_module_imports_nothing_that_reads_clocks_files_or_chance() -> None:
@@ -33,7 +33,7 @@
 
 def run_link(text: str, hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
     env = {**os.environ, "PYTHONHASHSEED": hash_seed}
-    command = [sys.executable, "-m", "basaltreel.benchlink"]
+    command = [sys.executable, "-m", "maplestile.benchlink"]
     return subprocess.run(command, input=text, capture_output=True, text=True, cwd=ROOT, env=env, check=False)
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from basaltreel import benchlink as link
-from basaltreel import interface as api
+from maplestile import benchlink as link
+from maplestile import interface as api
 
 W = "10.0.0.1:80"
 EVENTS: list[tuple[str, api.Event]] = [
