--- a/maplestile/core.py
+++ b/maplestile/core.py
@@ -28,7 +28,7 @@
     EXPIRED = "expired"  # failed because its time ran out
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Request:
     """What a caller asks for; `tag` names this try, `key` is the idempotency key of keyed classes."""
 
@@ -45,7 +45,7 @@
     body: bytes = b""
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Outcome:
     verdict: Verdict
     body: bytes = b""
@@ -108,9 +108,10 @@
     flights: dict[AttemptId, Flight] = field(default_factory=dict)
     errands: dict[int, Errand] = field(default_factory=dict)
     events: deque[api.Event] = field(default_factory=deque)
-    timers: list[tuple[int, int, Callable[[], None]]] = field(default_factory=list)
+    timers: dict[int, list[Callable[[], object]]] = field(default_factory=dict)  # by the tick when due
+    ticks: list[int] = field(default_factory=list)
     number: int = 0
-    armed_us: int = 0
+    armed: int = 0
     acting: bool = False
 
     def __post_init__(self) -> None:
@@ -126,7 +127,9 @@
         # The client's time runs from the last byte, not from when a busy loop got to it.
         due_us = received_us + request.budget_us
         self.open[call] = Open(request, due_us, answer)
-        if len(self.open) > self.limits.open_requests:  # guards memory against a flood
+        # Guards memory against a flood, and the requests in hand against a loop that lags ever more.
+        if len(self.open) > self.limits.open_requests or now - received_us > self.limits.lag_most_us:
+            self.counters["requests.shed"] += 1
             self._finish(call, Outcome(Verdict.REFUSED, retry_after_us=self.limits.max_retry_after_us))
             return call
         self.at(due_us, lambda: self._overdue(call))
@@ -187,22 +190,29 @@
 
     # Time.
 
-    def at(self, due_us: int, then: Callable[[], None]) -> None:
-        self.number += 1
-        heapq.heappush(self.timers, (due_us, self.number, then))
+    def at(self, due_us: int, then: Callable[[], object]) -> None:
+        """Due in the first tick at or after `due_us`, as on the simulator's wire; a tick has one alarm."""
+        tick = -(-due_us // self.settings.tick_us)
+        timers = self.timers.get(tick)
+        if timers is None:
+            timers = self.timers[tick] = []
+            heapq.heappush(self.ticks, tick)
+            self._arm()
+        timers.append(then)
 
     def tick(self) -> None:
         """Run what is due; the driver calls this when the alarm goes off."""
-        self.armed_us = 0
-        now = self.clock()
-        while self.timers and self.timers[0][0] <= now:
-            heapq.heappop(self.timers)[2]()
+        now = self.clock() // self.settings.tick_us
+        while self.ticks and self.ticks[0] <= now:
+            for then in self.timers.pop(heapq.heappop(self.ticks)):
+                then()
+        self.armed = 0
         self._arm()
 
     def _arm(self) -> None:
-        if self.timers and not 0 < self.armed_us <= self.timers[0][0]:
-            self.armed_us = self.timers[0][0]
-            self.alarm(self.armed_us)
+        if self.ticks and not 0 < self.armed <= self.ticks[0]:
+            self.armed = self.ticks[0]
+            self.alarm(self.armed * self.settings.tick_us)
 
     # Events in, actions out.
 
@@ -218,7 +228,6 @@
                     self._act(action)
         finally:
             self.acting = False
-        self._arm()
 
     def _act(self, action: api.Action) -> None:
         match action:
--- a/maplestile/interface.py
+++ b/maplestile/interface.py
@@ -1,4 +1,6 @@
-"""The types that `maplestile.decide` takes and returns; all times are whole microseconds, sizes megabytes."""
+"""The types that `maplestile.decide` takes and returns; all times are whole microseconds, sizes megabytes.
+
+The records made for each call are not frozen: that would double the time of making one."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -121,7 +123,7 @@
     entries: tuple[WorkerEntry, ...]
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class CallArrived:
     call: int
     function: str
@@ -147,7 +149,7 @@
     elapsed_us: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class AttemptEnded:
     call: int
     attempt: int
@@ -183,7 +185,7 @@
     content: bytes
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class TimerDue:
     token: int
 
@@ -201,7 +203,7 @@
 )
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Send:
     """Begin the call's next attempt; attempts are numbered from 0 in the order of their sends."""
 
@@ -221,13 +223,13 @@
     call: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Cancel:
     call: int
     attempt: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class SetTimer:
     due_us: int
     token: int
--- a/maplestile/wire/jsonrpc.py
+++ b/maplestile/wire/jsonrpc.py
@@ -1,10 +1,10 @@
 """JSON-RPC 2.0 behind `Content-Length` heads: framing, and the platform's requests and answers."""
 
-import base64
 import binascii
 import json
 from collections.abc import Iterator
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Any
 
 from maplestile.core import Outcome, Request, Verdict
@@ -13,6 +13,7 @@
 HEAD_END = b"\r\n\r\n"
 PARSE_ERROR, INVALID_REQUEST, UNKNOWN_METHOD, INVALID_PARAMS = -32700, -32600, -32601, -32602
 REFUSED, FAILED, EXPIRED = -32050, -32051, -32052
+TEXT_MOST, FIGURE_MOST = 256, 1e9
 
 
 class FramingError(Exception):
@@ -27,7 +28,7 @@
         self.code, self.id = code, id_
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Call:
     id: int
     request: Request
@@ -118,34 +119,38 @@
 
 
 def _request(class_name: str, params: dict[str, Any], limits: Limits) -> Request:
-    extras = dict(_pairs(_text(params, "info", "")))
+    extras = _figures(_text(params, "info", ""))
     return Request(
-        tag=_text(params, "txn"),
-        function=_text(params, "item", ""),
-        class_name=class_name,
-        budget_us=int(_figure(params, "limit") * 1000),
-        memory_mb=extras.get("memory_mb", 0.0),
-        lanes=max(1, int(extras.get("lanes", 1.0))),
-        cost_us=int(_figure(params, "cpu", 0.0) * 1000),
-        tenant=_text(params, "team", ""),
-        repeat=str(params.get("second", "")) in ("1", "True"),
-        key=_text(params, "unique", ""),
-        body=_body(params, limits),
+        _text(params, "txn"),
+        _text(params, "item", ""),
+        class_name,
+        int(_figure(params, "limit") * 1000),
+        extras.get("memory_mb", 0.0),
+        max(1, int(extras.get("lanes", 1.0))),
+        int(_figure(params, "cpu", 0.0) * 1000),
+        _text(params, "team", ""),
+        params.get("second") in (1, "1", True),
+        _text(params, "unique", ""),
+        _body(params.get("blob", ""), limits),
     )
 
 
-def _pairs(text: str) -> Iterator[tuple[str, float]]:
-    for part in filter(None, text.split(";")):
+@lru_cache(1024)
+def _figures(text: str) -> dict[str, float]:
+    """The further figures; few functions make most calls, so few texts come again and again."""
+    figures = {}
+    for part in text.split(";"):
         name, _, value = part.partition(":")
         try:
-            yield name, float(value)
+            figures[name] = _in_range(name, float(value))
         except ValueError:
             continue  # a further figure of another form is none of ours
+    return figures
 
 
 def _text(params: dict[str, Any], name: str, default: str | None = None) -> str:
     value = params.get(name, default)
-    if not isinstance(value, str) or len(value) > 256:
+    if not isinstance(value, str) or len(value) > TEXT_MOST:
         raise ValueError(f"field '{name}' is no short string")
     return value
 
@@ -153,19 +158,21 @@
 def _figure(params: dict[str, Any], name: str, default: float | None = None) -> float:
     value = params.get(name, default)
     try:
-        figure = float(value)  # type: ignore[arg-type]
-    except (TypeError, ValueError):
+        return _in_range(name, float(value))  # type: ignore[arg-type]
+    except TypeError:
         raise ValueError(f"field '{name}' is no number") from None
-    if not 0 <= figure < 1e9:  # no sign, no NaN, no infinity: they would poison the timers
+
+
+def _in_range(name: str, figure: float) -> float:
+    if not 0 <= figure < FIGURE_MOST:  # no sign, no NaN, no infinity: they would poison the timers
         raise ValueError(f"field '{name}' is out of range")
     return figure
 
 
-def _body(params: dict[str, Any], limits: Limits) -> bytes:
-    blob = params.get("blob", "")
+def _body(blob: Any, limits: Limits) -> bytes:
     try:
-        body = base64.b64decode(blob, validate=True)
-    except (TypeError, ValueError, binascii.Error):
+        body = binascii.a2b_base64(blob, strict_mode=True)
+    except (TypeError, ValueError):
         raise ValueError("field 'blob' is no base64") from None
     if len(body) > limits.body_bytes:
         raise ValueError("field 'blob' is too long")
@@ -174,7 +181,9 @@
 
 def answer(id_: int, outcome: Outcome) -> bytes:
     if outcome.verdict is Verdict.SERVED:
-        return result(id_, {"blob": base64.b64encode(outcome.body).decode()})
+        blob = binascii.b2a_base64(outcome.body, newline=False)
+        body = b'{"jsonrpc":"2.0","id":%d,"result":{"blob":"%b"}}' % (id_, blob)
+        return b"Content-Length: %d\r\n\r\n%b" % (len(body), body)  # by hand: the hot path's answer
     if outcome.verdict is Verdict.REFUSED:
         later = max(1, outcome.retry_after_us // 1000)
         return error(id_, REFUSED, "refused", {"later": later})
--- a/maplestile/wire/runner.py
+++ b/maplestile/wire/runner.py
@@ -1,10 +1,10 @@
 """The runners' lines: commands out, answers in, one JSON object a line."""
 
-import base64
 import binascii
 import json
 from collections.abc import Iterator
 from dataclasses import dataclass
+from json.encoder import encode_basestring_ascii as quoted
 from typing import Any
 
 from maplestile.core import Report, Request
@@ -26,7 +26,7 @@
     """An answer that cannot be used."""
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Answer:
     call: str
     result: Result
@@ -60,12 +60,12 @@
 
 
 def call(request: Request, wait_us: int) -> bytes:
-    head: dict[str, Any] = {"class": request.class_name, "key": request.function}
-    head["wait"] = max(1, wait_us // 1000)
-    if request.key:
-        head["once"] = request.key
-    body = base64.b64encode(request.body).decode()
-    return _line({"kind": "CALL", "call": request.tag, "head": head, "bytes": body})
+    """Written by hand, since every attempt passes here; strings from outside are quoted by json's encoder."""
+    once = f',"once":{quoted(request.key)}' if request.key else ""
+    head = f'"class":{quoted(request.class_name)},"key":{quoted(request.function)}'
+    head += f',"wait":{max(1, wait_us // 1000)}{once}'
+    line = f'{{"kind":"CALL","call":{quoted(request.tag)},"head":{{{head}}}'
+    return b'%b,"bytes":"%b"}\n' % (line.encode(), binascii.b2a_base64(request.body, newline=False))
 
 
 def cancel(tag: str) -> bytes:
@@ -94,14 +94,16 @@
             alike=int(head.get("ahead", 0)),
             copies=int(head.get("units", 0)),
             report=_report(head.get("stats") or message.get("stats") or ""),
-            body=base64.b64decode(message.get("bytes") or "", validate=True),
+            body=binascii.a2b_base64(message.get("bytes") or "", strict_mode=True),
         )
     except KeyError as name:
         raise LineError(f"field {name} is missing or unknown") from None
-    except (ValueError, TypeError, AttributeError, OverflowError, RecursionError, binascii.Error) as fault:
+    except (ValueError, TypeError, AttributeError, OverflowError, RecursionError) as fault:
         raise LineError(str(fault)) from None
 
 
 def _report(text: str) -> Report:
-    parts = (part.partition(":") for part in str(text).split(";") if part)
-    return tuple((name.strip(), float(value)) for name, _, value in parts)
+    if not text:
+        return ()
+    parts = [part.partition(":") for part in str(text).split(";") if part]
+    return tuple([(name.strip(), float(value)) for name, _, value in parts])
