--- a/maplestile/__main__.py
+++ b/maplestile/__main__.py
@@ -1,4 +1,6 @@
-"""One function router on the platform: start, drain at SIGTERM, counters at SIGUSR1 and at the end."""
+"""One function router: start, drain at SIGTERM, counters at SIGUSR1 and at the end.
+
+Without arguments it is a node of the platform, told all by its environment; else the command line."""
 
 import asyncio
 import gc
@@ -9,8 +11,8 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING, Any
 
 from maplestile.core import Core
 from maplestile.fleet import Fleet, FleetError
@@ -22,6 +24,9 @@
 from maplestile.net.stamps import StampedSelector
 from maplestile.settings import SettingsError, settings_from
 
+if TYPE_CHECKING:  # the platform's nodes do not load the second front
+    from maplestile.invoke.operator import Operator
+
 log = logging.getLogger("maplestile")
 SWEEP_S, DRAIN_LOOK_S = 1.0, 0.02
 GC_THRESHOLD = 20_000  # allocations between looks of the youngest generation: each look stops the loop
@@ -40,23 +45,23 @@
 class Node:
     """The parts of one function router, put together."""
 
-    def __init__(self, config: Mapping[str, Any], selector: StampedSelector) -> None:
+    def __init__(
+        self, config: Mapping[str, Any], selector: StampedSelector, operator: "Operator | None" = None
+    ) -> None:
         self.name = str(config.get("name", ""))
         settings = settings_from(config["settings"])
         told = config.get("limits", {})
         self.limits = Limits.of(settings, int(told.get("sockets", 1024)))
-        self.listen, self.dns = address(config["listen"]), address(config["dns"])
+        self.listen = address(config["listen"]) if "listen" in config else None
+        self.dns = address(config["dns"]) if "dns" in config else None
+        self.operator, self.selector = operator, selector
         self.counters: Counter[str] = Counter()
         self.fleet = Fleet()
-        self.fleet.apply_known(config["known"])
+        self.fleet.apply_known(config.get("known", {"updates": []}))
         self.runners = Runners(self.limits, clock, self.counters)
-        seed = int(str(config.get("seed", "0")), 16) & (1 << 63) - 1
-        self.core = Core(settings, self.limits, seed, self.runners, clock, self._alarm, self.counters)
+        self.seed = int(str(config.get("seed", "0")), 16) & (1 << 63) - 1
+        self.core = Core(settings, self.limits, self.seed, self.runners, clock, self._alarm, self.counters)
         self.runners.core = self.core
-        self.platform = Platform(
-            self.core, self.limits, self.counters, lambda: selector.since_us, self._ready
-        )
-        self.names = Names(self.dns, self.fleet, self.limits, self.counters, self._changed, seed)
         self.handle: asyncio.TimerHandle | None = None
         self.stopping = asyncio.Event()
         self.listening = False
@@ -82,19 +87,46 @@
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
         self.runners.update(self.fleet)
         self.core.list_changed(self.fleet.event(ListKind.CACHED))
-        server = await self.platform.start(*self.listen)
+        servers = await self._listen()
         self.listening = True
-        log.info("%s listens on %s:%d, %d runners known", self.name, *self.listen, len(self.fleet.entries))
-        tasks = [loop.create_task(self.names.run()), loop.create_task(self._sweep())]
+        tasks = [loop.create_task(self._sweep())]
+        if self.dns is not None:
+            names = Names(self.dns, self.fleet, self.limits, self.counters, self._changed, self.seed)
+            tasks.append(loop.create_task(names.run()))
         for task in tasks:
             task.add_done_callback(self._task_ended)
         await self.stopping.wait()
         await self._drain()
-        server.close()
+        for server in servers:
+            server.close()
         for task in tasks:
             task.cancel()
         self.print_counters()
 
+    async def _listen(self) -> list[asyncio.Server]:
+        servers = []
+        if self.listen is not None:
+            platform = Platform(self.core, self.limits, self.counters, self._received, self._ready)
+            servers.append(await platform.start(*self.listen))
+            self._listens("platform", servers[-1])
+        if self.operator is not None:
+            from maplestile.invoke.api import Api
+            from maplestile.invoke.http import Http
+
+            api = Api(self.core, self.operator, self.counters)
+            http = Http(api, self.operator, self.counters, self._received)
+            servers.append(await http.start(*address(self.operator.listen)))
+            self._listens("invoke", servers[-1])
+        return servers
+
+    def _listens(self, front: str, server: asyncio.Server) -> None:
+        host, port = server.sockets[0].getsockname()[:2]
+        known = len(self.fleet.entries)
+        log.info("%s: %s front listens on %s:%d, %d runners known", self.name, front, host, port, known)
+
+    def _received(self) -> int:
+        return self.selector.since_us
+
     def _task_ended(self, task: asyncio.Task[None]) -> None:
         if not task.cancelled() and task.exception() is not None:
             log.error("a part has failed", exc_info=task.exception())
@@ -117,17 +149,21 @@
         print(json.dumps({"counters": told}), file=sys.stderr, flush=True)
 
 
-def main() -> int:
+def serve(operator: "Operator") -> int:
+    """One instance set up by an operator's file, with the invoke front."""
+    return _run(lambda: {**operator.node, "seed": os.urandom(8).hex()}, operator)
+
+
+def _run(configure: Callable[[], Mapping[str, Any]], operator: "Operator | None" = None) -> int:
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s", stream=sys.stderr)
     try:
-        with open(os.environ["NODE_CONFIG"], encoding="utf-8") as file:
-            config = json.load(file)
+        config = configure()
         selector = StampedSelector(clock)
         loop: asyncio.AbstractEventLoop = asyncio.SelectorEventLoop(selector)
         with asyncio.Runner(loop_factory=lambda: loop) as runner:
 
             async def start() -> None:
-                node = Node(config, selector)
+                node = Node(config, selector, operator)
                 gc.freeze()
                 gc.set_threshold(GC_THRESHOLD, 20, 50)
                 await node.run()
@@ -139,5 +175,18 @@
     return 0
 
 
+def read_config() -> Any:
+    with open(os.environ["NODE_CONFIG"], encoding="utf-8") as file:
+        return json.load(file)
+
+
+def main() -> int:
+    if sys.argv[1:]:
+        from maplestile import cli
+
+        return cli.main()
+    return _run(read_config)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/maplestile/agent.py
@@ -0,0 +1,274 @@
+"""The agent: keeps many instances running, and answers the command line over loopback.
+
+It speaks one JSON object a line: `{"do":"status","instances":["n1"]}` in, one object back."""
+
+import asyncio
+import ipaddress
+import json
+import logging
+import os
+import signal
+import sys
+import time
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from maplestile.invoke.operator import OperatorError, Table
+
+log = logging.getLogger("maplestile.agent")
+LINE_BYTES, ASK_S, COUNTERS_S = 65_536, 60.0, 3.0
+
+
+@dataclass(slots=True, frozen=True)
+class Spec:
+    name: str
+    command: tuple[str, ...]
+    environment: tuple[tuple[str, str], ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """The agent's file."""
+
+    listen: tuple[str, int]
+    instances: tuple[Spec, ...]
+    backoff_s: float
+    backoff_most_s: float
+    steady_s: float
+    stop_s: float
+
+
+def load(path: Path) -> Plan:
+    try:
+        root = Table(tomllib.loads(path.read_text(encoding="utf-8")), "")
+    except OSError as fault:
+        raise OperatorError(f"{path}: {fault.strerror}") from None
+    except tomllib.TOMLDecodeError as fault:
+        raise OperatorError(f"{path}: no TOML: {fault}") from None
+    agent = root.table("agent")
+    host, _, port = agent.address("listen").rpartition(":")
+    try:
+        loopback = ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        loopback = False
+    if not loopback:  # whoever reaches this port can stop the service
+        raise OperatorError("agent.listen: must be a loopback address")
+    plan = Plan(
+        (host, int(port)),
+        tuple(_spec(table, path.parent) for table in root.tables("instance")),
+        agent.number("backoff_s", 0.5, least=0.01),
+        agent.number("backoff_most_s", 30.0, least=0.01),
+        agent.number("steady_s", 10.0),
+        agent.number("stop_s", 8.0, least=0.1),
+    )
+    names = [spec.name for spec in plan.instances]
+    if len(set(names)) < len(names):
+        raise OperatorError("instance: a name stands twice")
+    agent.end()
+    root.end()
+    return plan
+
+
+def _spec(table: Table, folder: Path) -> Spec:
+    name, file = table.text("name"), table.text("file", "")
+    command, environment = table.values.pop("command", None), table.values.pop("env", {})
+    if bool(file) == bool(command):
+        raise OperatorError(f"{table.path}: needs 'file' or 'command', and not both")
+    if file:
+        command = [sys.executable, "-m", "maplestile", "serve", str(folder / file)]
+    if not isinstance(command, list) or not all(isinstance(part, str) for part in command):
+        raise OperatorError(f"{table.path}.command: must be a list of texts")
+    if not isinstance(environment, dict) or not all(isinstance(v, str) for v in environment.values()):
+        raise OperatorError(f"{table.path}.env: must be a table of texts")
+    table.end()
+    return Spec(name, tuple(command), tuple(environment.items()))
+
+
+class Instance:
+    """One process: started, watched, started again after a wait that doubles with each early end."""
+
+    def __init__(self, spec: Spec, plan: Plan) -> None:
+        self.spec, self.plan = spec, plan
+        self.process: asyncio.subprocess.Process | None = None
+        self.state, self.starts, self.since, self.last_exit = "new", 0, time.time(), ""
+        self.wanted = asyncio.Event()
+        self.wanted.set()
+        self.changed = asyncio.Condition()
+        self.hurry = asyncio.Event()
+        self.counters: asyncio.Future[Any] | None = None
+
+    async def run(self) -> None:
+        wait_s = self.plan.backoff_s
+        while True:
+            await self.wanted.wait()
+            began = time.monotonic()
+            try:
+                self.process = await asyncio.create_subprocess_exec(
+                    *self.spec.command, env={**os.environ, **dict(self.spec.environment)},
+                    stdin=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
+                )  # fmt: skip
+            except OSError as fault:
+                self.last_exit = f"cannot start: {fault.strerror}"
+            else:
+                self.starts += 1
+                await self._now("running")
+                if not self.wanted.is_set():  # told to stop while it was being started
+                    self._signal(signal.SIGTERM)
+                await self._watch(self.process)
+            if not self.wanted.is_set() or self.hurry.is_set():
+                self.hurry.clear()
+                wait_s = self.plan.backoff_s
+                await self._now("stopped")
+                continue
+            if time.monotonic() - began >= self.plan.steady_s:
+                wait_s = self.plan.backoff_s
+            log.warning("%s: %s; starts again in %.2f s", self.spec.name, self.last_exit, wait_s)
+            await self._now("waiting")
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self.hurry.wait()
+            except TimeoutError:
+                pass
+            self.hurry.clear()
+            wait_s = min(self.plan.backoff_most_s, 2 * wait_s)
+
+    async def _watch(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stderr is not None
+        while line := await process.stderr.readline():
+            if line.startswith(b'{"counters"') and self.counters is not None and not self.counters.done():
+                self.counters.set_result(json.loads(line)["counters"])
+                continue
+            sys.stderr.write(f"[{self.spec.name}] {line.decode(errors='replace')}")
+            sys.stderr.flush()
+        code = await process.wait()
+        self.process = None
+        self.last_exit = f"ended with {code}" if code >= 0 else f"ended by {signal.Signals(-code).name}"
+
+    async def _now(self, state: str) -> None:
+        async with self.changed:
+            self.state, self.since = state, time.time()
+            self.changed.notify_all()
+
+    def _signal(self, number: signal.Signals) -> bool:
+        if self.process is None or self.process.returncode is not None:
+            return False
+        self.process.send_signal(number)
+        return True
+
+    async def stop(self) -> None:
+        self.wanted.clear()
+        self.hurry.set()
+        await self._end()
+        if self.state in ("new", "waiting"):
+            await self._now("stopped")
+
+    async def _end(self) -> None:
+        process = self.process
+        if process is None or not self._signal(signal.SIGTERM):
+            return
+        try:
+            async with asyncio.timeout(self.plan.stop_s):
+                await process.wait()
+        except TimeoutError:
+            log.warning("%s: still there %.1f s after SIGTERM; killed", self.spec.name, self.plan.stop_s)
+            self._signal(signal.SIGKILL)
+            await process.wait()
+
+    async def restart(self) -> None:
+        self.hurry.set()
+        if self.wanted.is_set():
+            starts = self.starts
+            await self._end()
+        else:
+            starts = self.starts
+            self.wanted.set()
+        async with self.changed:
+            await self.changed.wait_for(lambda: self.starts > starts or self.state == "waiting")
+
+    async def count(self) -> Any:
+        self.counters = asyncio.get_running_loop().create_future()
+        if not self._signal(signal.SIGUSR1):
+            return None
+        try:
+            async with asyncio.timeout(COUNTERS_S):
+                return await self.counters
+        except TimeoutError:
+            return None
+
+    def status(self) -> dict[str, Any]:
+        return {
+            "state": self.state, "pid": self.process.pid if self.process else None, "starts": self.starts,
+            "for_s": round(time.time() - self.since, 1), "last_exit": self.last_exit,
+        }  # fmt: skip
+
+
+class Agent:
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.instances = {spec.name: Instance(spec, plan) for spec in plan.instances}
+        self.ended = asyncio.Event()
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.ended.set)
+        server = await asyncio.start_server(self._serve, *self.plan.listen, limit=LINE_BYTES)
+        host, port = server.sockets[0].getsockname()[:2]
+        log.info("agent listens on %s:%d, %d instances", host, port, len(self.instances))
+        tasks = [loop.create_task(instance.run()) for instance in self.instances.values()]
+        await self.ended.wait()
+        log.info("agent stops its instances")
+        await asyncio.gather(*(instance.stop() for instance in self.instances.values()))
+        server.close()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            async with asyncio.timeout(ASK_S):
+                reply = await self._reply(await reader.readline())
+                writer.write(json.dumps(reply).encode() + b"\n")
+                await writer.drain()
+        except (OSError, ValueError, TimeoutError) as fault:
+            log.warning("a question that cannot be answered: %s", fault)
+        finally:
+            writer.close()
+
+    async def _reply(self, line: bytes) -> dict[str, Any]:
+        try:
+            asked = json.loads(line)
+            do, names = asked["do"], asked.get("instances") or list(self.instances)
+            chosen = [self.instances[name] for name in names]
+        except (ValueError, KeyError, TypeError, AttributeError) as fault:
+            return {"error": f"not understood, or no such instance: {fault}"}
+        match do:
+            case "status":
+                pass
+            case "stop":
+                await asyncio.gather(*(instance.stop() for instance in chosen))
+                if not asked.get("instances"):
+                    self.ended.set()
+            case "restart":
+                await asyncio.gather(*(instance.restart() for instance in chosen))
+            case "counters":
+                found = await asyncio.gather(*(instance.count() for instance in chosen))
+                return {"counters": dict(zip(names, found, strict=True))}
+            case _:
+                return {"error": f"no command '{do}'"}
+        return {"instances": {instance.spec.name: instance.status() for instance in chosen}}
+
+
+async def ask(address: tuple[str, int], do: str, names: list[str]) -> dict[str, Any]:
+    """What the command line asks of a running agent."""
+    reader, writer = await asyncio.open_connection(*address, limit=LINE_BYTES)
+    try:
+        writer.write(json.dumps({"do": do, "instances": names}).encode() + b"\n")
+        async with asyncio.timeout(ASK_S):
+            line = await reader.readline()
+    finally:
+        writer.close()
+    reply: dict[str, Any] = json.loads(line or b'{"error":"the agent gave no answer"}')
+    return reply
--- /dev/null
+++ b/maplestile/cli.py
@@ -0,0 +1,126 @@
+"""The command line: serve one instance, run the agent, ask it, read traces."""
+
+import argparse
+import asyncio
+import json
+import logging
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+from maplestile import agent, traces
+from maplestile.invoke.operator import OperatorError, load
+
+DEFAULT_AGENT = "127.0.0.1:7070"
+
+
+def parser() -> argparse.ArgumentParser:
+    top = argparse.ArgumentParser(prog="maplestile", description="A function router and its agent.")
+    commands = top.add_subparsers(dest="command", required=True)
+    serve = commands.add_parser("serve", help="run one instance by an operator's file")
+    serve.add_argument("file", type=Path)
+    check = commands.add_parser("check", help="read an operator's file and name what is wrong with it")
+    check.add_argument("file", type=Path)
+    run = commands.add_parser("agent", help="start and supervise the instances of an agent's file")
+    run.add_argument("file", type=Path)
+    for name, text in (
+        ("status", "how the instances stand"),
+        ("stop", "stop the named instances, or all of them and the agent"),
+        ("restart", "restart the named instances, or all of them"),
+        ("counters", "the counters of the named instances, or of all"),
+    ):
+        asked = commands.add_parser(name, help=text)
+        asked.add_argument("instance", nargs="*")
+        asked.add_argument("--agent", default=DEFAULT_AGENT, metavar="HOST:PORT")
+        asked.add_argument("--json", action="store_true", help="print the agent's whole answer")
+    read = commands.add_parser("traces", help="summarise public cluster traces in CSV")
+    read.add_argument("file", type=Path, nargs="+")
+    read.add_argument("--format", choices=("table", "json", "functions"), default="table")
+    read.add_argument("--top", type=int, default=0, help="only so many functions, the busiest first")
+    read.add_argument("--class", dest="class_name", default="default", help="class in the function table")
+    read.add_argument("--memory-mb", type=float, default=256.0, help="memory where the trace tells none")
+    return top
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    asked = parser().parse_args(arguments)
+    try:
+        match asked.command:
+            case "serve":
+                from maplestile.__main__ import serve
+
+                return serve(load(asked.file))
+            case "check":
+                operator = load(asked.file)
+                print(f"{asked.file}: {len(operator.functions)} functions, {len(operator.tenants)} tenants")
+            case "agent":
+                return _agent(asked.file)
+            case "traces":
+                return _traces(asked)
+            case _:
+                return _ask(asked)
+    except (OperatorError, traces.TraceError) as fault:
+        print(f"maplestile: {fault}", file=sys.stderr)
+        return 1
+    except BrokenPipeError:
+        return 0
+    return 0
+
+
+def _agent(file: Path) -> int:
+    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s", stream=sys.stderr)
+    plan = agent.load(file)
+
+    async def run() -> None:
+        await agent.Agent(plan).run()
+
+    try:
+        asyncio.run(run())
+    except OSError as fault:
+        print(f"maplestile: the agent cannot listen: {fault}", file=sys.stderr)
+        return 1
+    return 0
+
+
+def _ask(asked: argparse.Namespace) -> int:
+    host, _, port = asked.agent.rpartition(":")
+    try:
+        reply = asyncio.run(agent.ask((host, int(port)), asked.command, asked.instance))
+    except (OSError, ValueError, TimeoutError) as fault:
+        print(f"maplestile: no agent at {asked.agent}: {fault}", file=sys.stderr)
+        return 1
+    if "error" in reply:
+        print(f"maplestile: {reply['error']}", file=sys.stderr)
+        return 1
+    if asked.json or asked.command == "counters":
+        print(json.dumps(reply, indent=2))
+        return 0
+    for name, told in reply["instances"].items():
+        pid = f"pid {told['pid']}" if told["pid"] else "no process"
+        print(name, told["state"], pid, f"{told['starts']} starts", f"{told['for_s']} s", sep="\t", end="\t")
+        print(told["last_exit"])
+    return 0
+
+
+def _traces(asked: argparse.Namespace) -> int:
+    trace = traces.Trace()
+    for path in asked.file:
+        try:
+            with path.open(newline="", encoding="utf-8", errors="replace") as file:
+                trace.read(file, str(path))
+        except OSError as fault:
+            raise traces.TraceError(f"{path}: {fault.strerror}") from None
+    for bad in trace.bad:
+        print(f"maplestile: {bad}", file=sys.stderr)
+    rows = traces.summary(trace, asked.top)
+    if asked.format == "functions":
+        lines = traces.functions(trace, asked.class_name, asked.memory_mb, asked.top)
+    else:
+        lines = traces.table(rows) if asked.format == "table" else (json.dumps(row) for row in rows)
+    for line in lines:
+        print(line)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/maplestile/invoke/http.py
@@ -0,0 +1,143 @@
+"""The invoke API's driver: HTTP/1.1 by h11 over asyncio streams."""
+
+import asyncio
+import logging
+from collections import Counter
+from collections.abc import Callable
+
+import h11
+
+from maplestile.invoke.api import Api, HttpRequest
+from maplestile.invoke.operator import Operator
+from maplestile.invoke.problems import Response, problem
+
+log = logging.getLogger(__name__)
+READ_BYTES, HEAD_BYTES, AHEAD_BYTES = 65_536, 16_384, 262_144
+WRITE_S = 10.0
+
+
+class TooLarge(Exception):
+    """A body over the limit: it is not read to its end."""
+
+
+class Left(Exception):
+    """The client has gone."""
+
+
+class Http:
+    def __init__(
+        self, api: Api, operator: Operator, counters: Counter[str], received: Callable[[], int]
+    ) -> None:
+        self.api, self.operator, self.counters, self.received = api, operator, counters, received
+        self.connections = 0
+
+    async def start(self, host: str, port: int) -> asyncio.Server:
+        return await asyncio.start_server(self._serve, host, port, limit=READ_BYTES, backlog=512)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.connections >= self.operator.connections:  # the descriptors are budgeted
+            self.counters["invoke.turned_away"] += 1
+            writer.transport.abort()
+            return
+        self.connections += 1
+        self.counters["invoke.connections"] += 1
+        try:
+            await Exchange(self, reader, writer).run()
+        except (Left, OSError, TimeoutError) as fault:
+            log.debug("invoke client: %r", fault)
+        finally:
+            self.connections -= 1
+            writer.close()
+
+
+class Exchange:
+    """One connection: request after request, each answered before the next is read."""
+
+    def __init__(self, http: Http, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.http, self.reader, self.writer = http, reader, writer
+        self.wire = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_BYTES)
+        self.ahead = 0
+
+    async def run(self) -> None:
+        while True:
+            try:
+                request = await self._request()
+            except TooLarge:
+                detail = f"the body is over {self.http.operator.body_bytes} bytes"
+                await self._write(problem(413, detail), True)
+                return
+            except h11.RemoteProtocolError as fault:
+                self.http.counters["invoke.malformed"] += 1
+                log.warning("invoke client: %s; connection closed", fault)
+                if self.wire.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                    status = fault.error_status_hint
+                    await self._write(problem(status, str(fault)), True)
+                return
+            if request is None:
+                return
+            await self._write(await self._answer(request), False)
+            if self.wire.our_state is not h11.DONE or self.wire.their_state is not h11.DONE:
+                return
+            self.wire.start_next_cycle()
+
+    async def _event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        while (event := self.wire.next_event()) is h11.NEED_DATA:
+            if self.wire.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
+                self.writer.write(self.wire.send(go_on) or b"")
+            async with asyncio.timeout(self.http.operator.idle_s):
+                data = await self.reader.read(READ_BYTES)
+            self.wire.receive_data(data)
+        return event
+
+    async def _request(self) -> HttpRequest | None:
+        event = await self._event()
+        if not isinstance(event, h11.Request):
+            return None
+        head, body = event, bytearray()
+        while isinstance(event := await self._event(), h11.Data):
+            body += event.data
+            if len(body) > self.http.operator.body_bytes:
+                raise TooLarge
+        if not isinstance(event, h11.EndOfMessage):
+            return None
+        headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
+        return HttpRequest(
+            head.method.decode(), head.target.decode("latin-1"), headers, bytes(body), self.http.received()
+        )
+
+    async def _answer(self, request: HttpRequest) -> Response:
+        """Wait for the answer, and for the client's leaving, which calls the request off."""
+        answer: asyncio.Future[Response] = asyncio.get_running_loop().create_future()
+        leave = self.http.api.handle(request, lambda r: None if answer.done() else answer.set_result(r))
+        try:
+            while not answer.done():
+                reading = asyncio.ensure_future(self.reader.read(READ_BYTES))
+                try:
+                    await asyncio.wait((reading, answer), return_when=asyncio.FIRST_COMPLETED)
+                    if not reading.done():
+                        continue
+                    data = reading.result()
+                    self.ahead += len(data)
+                    if not data or self.ahead > AHEAD_BYTES:  # guards memory against endless pipelining
+                        raise Left
+                    self.wire.receive_data(data)
+                finally:
+                    if not reading.done():
+                        reading.cancel()
+            self.ahead = 0
+            return answer.result()
+        finally:
+            if not answer.done():
+                leave()
+
+    async def _write(self, response: Response, close: bool) -> None:
+        length = [] if response.status == 204 else [("Content-Length", str(len(response.body)))]
+        headers = [*response.headers, *length, *([("Connection", "close")] if close else [])]
+        data = self.wire.send(h11.Response(status_code=response.status, headers=headers)) or b""
+        if response.body:
+            data += self.wire.send(h11.Data(data=response.body)) or b""
+        data += self.wire.send(h11.EndOfMessage()) or b""
+        self.writer.write(data)
+        async with asyncio.timeout(WRITE_S):  # a client that reads nothing is let go
+            await self.writer.drain()
--- /dev/null
+++ b/maplestile/invoke/operator.py
@@ -0,0 +1,247 @@
+"""The operator's file: functions, tenants, classes, workers and limits, in TOML.
+
+What the core needs of it is put into the platform's form, so that one parser serves both fronts."""
+
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+SEMANTICS = {"safe": "free", "keyed": "guarded", "unsafe": "single_shot"}
+SCOPES = ("all", "zone", "cell")
+
+
+class OperatorError(Exception):
+    """A file that cannot be used; the text names the field."""
+
+
+@dataclass(slots=True, frozen=True)
+class Function:
+    name: str
+    class_name: str
+    memory_mb: float
+    lanes: int
+
+
+@dataclass(slots=True, frozen=True)
+class Tenant:
+    name: str
+    open_most: int  # calls in hand at a time; 0 for no limit
+
+
+@dataclass(slots=True, frozen=True)
+class Operator:
+    """What the invoke front is told; `node` is what the rest of the program is told."""
+
+    listen: str
+    functions: Mapping[str, Function]
+    tenants: Mapping[str, Tenant]
+    deadlines_us: Mapping[str, int]
+    keyed: frozenset[str]
+    records: int
+    record_us: int
+    body_bytes: int
+    deadline_most_us: int
+    connections: int
+    idle_s: float
+    node: Mapping[str, Any] = field(hash=False)
+
+
+class Table:
+    """One table of the file, read field by field; what is left over at the end is a mistake."""
+
+    def __init__(self, values: Any, path: str) -> None:
+        if not isinstance(values, dict):
+            raise OperatorError(f"{path}: must be a table")
+        self.values, self.path = dict(values), path
+
+    def _take(self, name: str, kinds: tuple[type, ...], told: str, default: Any) -> Any:
+        value = self.values.pop(name, default)
+        if value is None:
+            raise OperatorError(f"{self.path}.{name}: is missing")
+        if not isinstance(value, kinds) or isinstance(value, bool) and bool not in kinds:
+            raise OperatorError(f"{self.path}.{name}: must be {told}")
+        return value
+
+    def text(self, name: str, default: str | None = None) -> str:
+        return str(self._take(name, (str,), "a text", default))
+
+    def address(self, name: str) -> str:
+        value = self.text(name)
+        host, _, port = value.rpartition(":")
+        if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+            raise OperatorError(f"{self.path}.{name}: must be host:port")
+        return value
+
+    def number(self, name: str, default: float | None = None, least: float = 0.0) -> float:
+        value = float(self._take(name, (int, float), "a number", default))
+        if not least <= value < 1e12:
+            raise OperatorError(f"{self.path}.{name}: must be {least:g} or more")
+        return value
+
+    def whole(self, name: str, default: int | None = None, least: int = 0) -> int:
+        value = int(self._take(name, (int,), "a whole number", default))
+        if value < least:
+            raise OperatorError(f"{self.path}.{name}: must be {least} or more")
+        return value
+
+    def flag(self, name: str, default: bool) -> bool:
+        return bool(self._take(name, (bool,), "true or false", default))
+
+    def choice(self, name: str, choices: tuple[str, ...], default: str | None = None) -> str:
+        value = self.text(name, default)
+        if value not in choices:
+            raise OperatorError(f"{self.path}.{name}: must be one of {', '.join(choices)}")
+        return value
+
+    def table(self, name: str) -> "Table":
+        return Table(self.values.pop(name, {}), f"{self.path}.{name}" if self.path else name)
+
+    def tables(self, name: str, needed: bool = True) -> list["Table"]:
+        rows = self.values.pop(name, [])
+        if not isinstance(rows, list) or needed and not rows:
+            raise OperatorError(f"{name}: at least one [[{name}]] is needed")
+        return [Table(row, f"{name}[{n}]") for n, row in enumerate(rows)]
+
+    def end(self) -> None:
+        if self.values:
+            name = next(iter(self.values))
+            raise OperatorError(f"{self.path + '.' if self.path else ''}{name}: is not known here")
+
+
+def load(path: Path) -> Operator:
+    try:
+        return parse(path.read_text(encoding="utf-8"))
+    except OSError as fault:
+        raise OperatorError(f"{path}: {fault.strerror}") from None
+
+
+def parse(text: str) -> Operator:
+    try:
+        root = Table(tomllib.loads(text), "")
+    except tomllib.TOMLDecodeError as fault:
+        raise OperatorError(f"no TOML: {fault}") from None
+    name = str(root.values.pop("name", "maplestile"))
+    invoke, limits, rules = root.table("invoke"), root.table("limits"), root.table("rules")
+    platform, names = root.table("platform"), root.table("names")
+    grades = [_grade(table) for table in _unique(root.tables("class"))]
+    classes = {grade["name"]: grade for grade in grades}
+    functions = {f.name: f for f in (_function(t, classes) for t in _unique(root.tables("function")))}
+    tenants = {t.name: t for t in (_tenant(t) for t in _unique(root.tables("tenant", needed=False)))}
+    kinds = [_kind(table) for table in _unique(root.tables("kind"))]
+    kind_names = tuple(kind[0] for kind in kinds)
+    workers = [_worker(t, kind_names) for t in _unique(root.tables("worker", needed=False), "id")]
+    node: dict[str, Any] = {
+        "name": name,
+        "settings": {
+            "grades": grades, "tenants": [{"name": tenant} for tenant in tenants],
+            "kinds": list(kind_names), "instances": rules.whole("routers", 1, least=1),
+            "granularityUs": 4_000, "discovery": "push",
+            "familyInfo": {
+                "orders": rules.flag("orders", True), "whenAbsent": "load",
+                "lingerIdleUs": int(rules.number("keep_s", 10.0, least=0.1) * 1e6),
+                "machineMb": [kind[1] for kind in kinds], "answerWithinUs": 10_000_000,
+            },
+            "limits": {
+                "attemptsCap": rules.whole("attempts", 5, least=1), "cancelling": True, "mayDuplicate": True,
+                "probes": True, "streamsPerConn": 32, "idleCloseUs": 15_000_000,
+                "connectTimeoutUs": int(rules.number("connect_timeout_ms", 250.0, least=1) * 1e3),
+                "maxOpen": limits.whole("open_requests", 2_000, least=1),
+            },
+            "guarantees": {
+                "answerSlackUs": 16_000, "drainGraceUs": 2_000_000, "startCapacity": 0.16,
+                "coldUs": 18_000_000, "fallMultiple": 4.0, "overloadForUs": 2_000_000,
+            },
+        },
+        "limits": {"sockets": limits.whole("sockets", 1024, least=64)},
+        "known": {"index": 0, "updates": [{"index": 0, "endpoints": {"all": True, "targets": workers}}]},
+    }  # fmt: skip
+    if platform.values:
+        node["listen"] = platform.address("listen")
+    if names.values:
+        node["dns"] = names.address("server")
+    if not workers and not names.values:
+        raise OperatorError("worker: at least one [[worker]] or [names] server is needed")
+    operator = Operator(
+        listen=invoke.address("listen"),
+        functions=functions,
+        tenants=tenants,
+        deadlines_us={grade["name"]: grade["deadlineUs"] for grade in grades},
+        keyed=frozenset(grade["name"] for grade in grades if grade["semantics"] == "guarded"),
+        records=limits.whole("records", 1_000, least=1),
+        record_us=int(limits.number("record_s", 60.0, least=0.1) * 1e6),
+        body_bytes=limits.whole("body_bytes", 16 * 1024, least=1),
+        deadline_most_us=int(limits.number("deadline_most_s", 60.0, least=0.01) * 1e6),
+        connections=limits.whole("connections", 300, least=1),
+        idle_s=limits.number("idle_s", 30.0, least=0.1),
+        node=node,
+    )
+    for table in (invoke, limits, rules, platform, names, root):
+        table.end()
+    return operator
+
+
+def _unique(tables: list[Table], name: str = "name") -> list[Table]:
+    seen = set[object]()
+    for table in tables:
+        value = table.values.get(name)
+        if isinstance(value, str) and value in seen:
+            raise OperatorError(f"{table.path}.{name}: '{value}' stands twice")
+        seen.add(value if isinstance(value, str) else id(table))
+    return tables
+
+
+def _grade(table: Table) -> dict[str, Any]:
+    aim = table.number("aim_ms", least=1)
+    grade = {
+        "name": table.text("name"),
+        "aimUs": int(aim * 1e3),
+        "deadlineUs": int(table.number("deadline_ms", least=aim) * 1e3),
+        "semantics": SEMANTICS[table.choice("semantics", tuple(SEMANTICS))],
+        "keyScope": table.choice("scope", SCOPES, "all"),
+        "windowUs": int(table.number("window_ms", 0.0) * 1e3),
+        "lateValue": table.number("late_worth", 0.0),
+    }
+    table.end()
+    return grade
+
+
+def _function(table: Table, classes: Mapping[str, object]) -> Function:
+    function = Function(
+        table.text("name"),
+        table.choice("class", tuple(classes)),
+        table.number("memory_mb", least=0.1),
+        table.whole("lanes", 1, least=1),
+    )
+    table.end()
+    return function
+
+
+def _tenant(table: Table) -> Tenant:
+    tenant = Tenant(table.text("name"), table.whole("open_most", 0))
+    table.end()
+    return tenant
+
+
+def _kind(table: Table) -> tuple[str, float]:
+    kind = table.text("name"), table.number("memory_mb", least=1)
+    table.end()
+    return kind
+
+
+def _worker(table: Table, kinds: tuple[str, ...]) -> dict[str, Any]:
+    worker = {
+        "uid": table.text("id"),
+        "endpoint": table.address("address"),
+        "az": table.text("zone", ""),
+        "model": table.choice("kind", kinds, kinds[0]),
+        "pod_group": table.whole("cell", 0),
+        "state": "Ready",
+        "capacity_hint": table.number("weight", 1.0, least=0.001),
+        "boot_ms": 0,
+    }
+    table.end()
+    return worker
+
+
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,239 @@
+"""Stand-ins for what stands round the program, and the program's process."""
+
+import base64
+import json
+import os
+import re
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).parent.parent
+PATIENCE_S = 20.0  # how long a test waits for what must come; never a measure of speed
+
+
+def eventually(true: Callable[[], Any], what: str = "it") -> Any:
+    end = time.monotonic() + PATIENCE_S
+    while not (found := true()):
+        if time.monotonic() > end:
+            raise AssertionError(f"waited in vain for {what}")
+        time.sleep(0.01)
+    return found
+
+
+class Worker:
+    """Runs what the body says: echo it backwards, fail, hang, or die. `ran` lists what it took up."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port: int = self.listener.getsockname()[1]
+        self.ran: list[dict[str, Any]] = []
+        self.lines: list[dict[str, Any]] = []
+        self.open: list[socket.socket] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                peer = self.listener.accept()[0]
+            except OSError:
+                return
+            self.open.append(peer)
+            threading.Thread(target=self._serve, args=(peer,), daemon=True).start()
+
+    def _serve(self, peer: socket.socket) -> None:
+        try:
+            for line in peer.makefile("rb"):
+                told = json.loads(line)
+                self.lines.append(told)
+                answer = self._answer(told)
+                if answer is not None:
+                    peer.sendall(json.dumps(answer | {"call": told["call"]}).encode() + b"\n")
+        except OSError:
+            return
+
+    def _answer(self, told: dict[str, Any]) -> dict[str, Any] | None:
+        if told["kind"] == "LOAD":
+            return {"kind": "200", "head": {"units": str(max(1, told["head"]["units"]))}}
+        if told["kind"] != "CALL":
+            return None
+        body = base64.b64decode(told["bytes"])
+        word = body.split(b":")[0]
+        if word == b"full":
+            return {"kind": "503"}
+        self.ran.append(told)
+        if word == b"die":
+            self.die()
+        if word in (b"die", b"hang"):
+            return None
+        if word == b"error":
+            return {"kind": 500}
+        return {"kind": 200, "head": {"ahead": "1"}, "bytes": base64.b64encode(body[::-1]).decode()}
+
+    def die(self) -> None:
+        """What a killed process leaves: no listener, and its connections reset."""
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for peer in self.open:
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            peer.shutdown(socket.SHUT_RD)
+            peer.close()
+
+
+def name_bytes(name: str) -> bytes:
+    return b"".join(bytes([len(part)]) + part.encode() for part in name.split(".")) + b"\0"
+
+
+def record(name: bytes, kind: int, data: bytes) -> bytes:
+    return name + struct.pack("!HHIH", kind, 1, 0, len(data)) + data
+
+
+class NameServer:
+    """Answers with a whole list; `faults` says what to do with the next queries instead."""
+
+    def __init__(self) -> None:
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind(("127.0.0.1", 0))
+        self.port: int = self.socket.getsockname()[1]
+        self.serial, self.workers = 1, list[tuple[str, int, int]]()  # uid, port, priority
+        self.faults: list[str] = []
+        self.queries = 0
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self) -> None:
+        while True:
+            query, peer = self.socket.recvfrom(512)
+            self.queries += 1
+            fault = self.faults.pop(0) if self.faults else ""
+            if fault == "lost":
+                continue
+            flags = 0x8600 if fault == "cut" else 0x8400
+            answer, extra = b"", b""
+            for uid, port, priority in self.workers:
+                host = name_bytes(f"{uid}.east.hosts")
+                answer += record(b"\xc0\x0c", 33, struct.pack("!3H", priority, 40, port) + host)
+                extra += record(host, 1, bytes([127, 0, 0, 1]))
+                extra += record(host, 16, b"".join(bytes([len(t)]) + t for t in (b"kind=std", b"cell=2")))
+            soa = record(b"\xc0\x0c", 6, b"\0\0" + struct.pack("!5I", self.serial, 0, 0, 0, 0))
+            count = len(self.workers)
+            head = struct.pack("!6H", int.from_bytes(query[:2]), flags, 1, count, 1, 2 * count)
+            self.socket.sendto(head + query[12:] + answer + soa + extra, peer)
+
+
+class Program:
+    """The real program as a process; its log is read all the time."""
+
+    def __init__(self, *arguments: str, **environment: str) -> None:
+        self.log: list[str] = []
+        env = {**os.environ, **environment, "PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "maplestile", *arguments],
+            stderr=subprocess.PIPE, text=True, env=env, cwd=ROOT,
+        )  # fmt: skip
+        threading.Thread(target=self._read, daemon=True).start()
+
+    def _read(self) -> None:
+        assert self.process.stderr is not None
+        self.log.extend(iter(self.process.stderr.readline, ""))
+
+    def find(self, pattern: str) -> str:
+        def look() -> str | None:
+            found = (re.search(pattern, line) for line in list(self.log))
+            return next((match[1] for match in found if match), None)
+
+        return str(eventually(look, f"{pattern} in {self.log}"))
+
+    def port(self, front: str) -> int:
+        return int(self.find(rf"{front} front listens on 127\.0\.0\.1:(\d+)"))
+
+    def counters(self) -> dict[str, int]:
+        self.log.clear()
+        self.process.send_signal(signal.SIGUSR1)
+        told: dict[str, int] = json.loads(self.find(r'^(\{"counters".*)'))["counters"]
+        return told
+
+    def stop(self) -> int:
+        self.process.terminate()
+        return self.process.wait(PATIENCE_S)
+
+    def kill(self) -> None:
+        self.process.kill()
+        self.process.wait()
+        if self.process.stderr is not None:
+            self.process.stderr.close()
+
+
+class Client:
+    """A JSON-RPC client of the platform's front."""
+
+    def __init__(self, port: int) -> None:
+        self.socket = socket.create_connection(("127.0.0.1", port), timeout=PATIENCE_S)
+        self.file = self.socket.makefile("rb")
+        self.id = 0
+
+    def send(self, method: str, params: dict[str, Any] | None = None, id_: int | None = None) -> int:
+        self.id += 1
+        body = {"jsonrpc": "2.0", "id": id_ or self.id, "method": method, "params": params or {}}
+        text = json.dumps(body).encode()
+        self.socket.sendall(b"Content-Length: %d\r\n\r\n%b" % (len(text), text))
+        return id_ or self.id
+
+    def call(self, class_name: str, body: bytes, limit_ms: int = 10_000, **params: Any) -> int:
+        told = {
+            "txn": os.urandom(8).hex(), "limit": limit_ms, "item": "f", "info": "memory_mb:100;lanes:4",
+            "blob": base64.b64encode(body).decode(),
+        }  # fmt: skip
+        return self.send(class_name, told | params)
+
+    def read(self) -> dict[str, Any] | None:
+        size = None
+        while (line := self.file.readline()) not in (b"\r\n", b""):
+            size = int(line.partition(b":")[2])
+        if size is None:
+            return None
+        told: dict[str, Any] = json.loads(self.file.read(size))
+        return told
+
+    def close(self) -> None:
+        self.file.close()
+        self.socket.close()
+
+
+def params(**changes: Any) -> dict[str, Any]:
+    """Settings in the platform's form, made up here."""
+    grade = {"aimUs": 4_000_000, "deadlineUs": 15_000_000, "keyScope": "all", "windowUs": 4_000_000}
+    kinds = {"review": "free", "deck-make": "guarded", "test-submit": "single_shot"}
+    return {
+        "grades": [grade | {"name": name, "semantics": kind} for name, kind in kinds.items()],
+        "instances": 1, "granularityUs": 4000, "discovery": "push", "kinds": ["std"],
+        "familyInfo": {"orders": True, "lingerIdleUs": 9_000_000, "machineMb": [8000],
+                       "answerWithinUs": 9_000_000, "whenAbsent": "load"},
+        "limits": {"attemptsCap": 5, "cancelling": True, "mayDuplicate": True, "probes": True,
+                   "idleCloseUs": 15_000_000, "connectTimeoutUs": 2_000_000},
+        "guarantees": {"answerSlackUs": 16_000, "coldUs": 9_000_000, "drainGraceUs": 2_000_000,
+                       "fallMultiple": 4.0, "overloadForUs": 2_000_000, "startCapacity": 0.16},
+    } | changes  # fmt: skip
+
+
+def target(uid: str, port: int, state: str = "Ready") -> dict[str, Any]:
+    return {"uid": uid, "endpoint": f"127.0.0.1:{port}", "az": "east", "model": "std", "pod_group": 2,
+            "state": state, "capacity_hint": 4, "boot_ms": 0}  # fmt: skip
+
+
+def node(workers: list[Worker], names: NameServer) -> Program:
+    """The program as the platform starts it."""
+    targets = [target(f"s-{n}", worker.port) for n, worker in enumerate(workers)]
+    known = {"index": 1, "updates": [{"index": 1, "endpoints": {"all": True, "targets": targets}}]}
+    config = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "known": known,
+              "limits": {"sockets": 256}, "dns": f"127.0.0.1:{names.port}", "settings": params()}  # fmt: skip
+    file = Path(tempfile.mkdtemp()) / "config.json"
+    file.write_text(json.dumps(config))
+    return Program(NODE_CONFIG=str(file))
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,115 @@
+"""The core with a pool and a clock of its own: one answer each, whatever comes late, twice or never."""
+
+from typing import Any
+
+from maplestile import interface as api
+from maplestile.core import AttemptId, Core, Outcome, Request, Verdict
+from maplestile.interface import Result
+from maplestile.limits import Limits
+from maplestile.settings import settings_from
+from tests.standins import params
+
+START = 1_700_000_000_000_000
+
+
+class Rig:
+    """A pool that notes what it is asked, and a clock that is moved by hand."""
+
+    def __init__(self, **limits: Any) -> None:
+        self.now, self.due = START, 0
+        self.sent: list[AttemptId] = []
+        self.cancelled: list[AttemptId] = []
+        self.core = Core(
+            settings_from(params()), Limits(**limits), 7, self, lambda: self.now, self._alarm
+        )
+        entries = tuple(
+            api.WorkerEntry(f"s-{n}", "east", "std", 2, api.WorkerState.RUNNING, 4.0, 0) for n in range(2)
+        )
+        self.core.list_changed(api.WorkerList(api.ListKind.CACHED, 1, entries))
+        self.answers: list[Outcome] = []
+
+    def _alarm(self, due_us: int) -> None:
+        self.due = due_us
+
+    def send(self, attempt: AttemptId, worker: str, request: Request, wait_us: int) -> None:
+        self.sent.append(attempt)
+
+    def cancel(self, attempt: AttemptId) -> None:
+        self.cancelled.append(attempt)
+
+    def order(self, tag: int, worker: str, function: str, copies: int) -> None: ...
+    def unload(self, worker: str, function: str) -> None: ...
+    def probe(self, tag: int, worker: str) -> None: ...
+    def forget(self, tag: int) -> None: ...
+    def close_idle(self, worker: str) -> None: ...
+
+    def submit(self, class_name: str = "review", budget_us: int = 1_000_000, age_us: int = 0) -> int:
+        request = Request("t", "f", class_name, budget_us, 100.0, 4)
+        return self.core.submit(request, self.now - age_us, self.answers.append)
+
+    def run(self, duration_us: int) -> None:
+        end = self.now + duration_us
+        while self.due and self.due <= end:
+            self.now, self.due = max(self.now, self.due), 0
+            self.core.tick()
+        self.now = end
+
+
+def test_first_good_answer_is_final_and_late_ones_are_ignored() -> None:
+    rig = Rig()
+    rig.submit()
+    rig.core.attempt_ended(rig.sent[0], Result.OK, b"one")
+    rig.core.attempt_ended(rig.sent[0], Result.OK, b"two")
+    rig.run(5_000_000)
+    assert [answer.body for answer in rig.answers] == [b"one"]
+    assert rig.core.counters["attempts.late"] == 1
+
+
+def test_deadline_counts_from_the_last_byte_and_not_from_when_the_loop_got_to_it() -> None:
+    rig = Rig()
+    rig.submit("test-submit", budget_us=1_000_000, age_us=150_000)
+    rig.run(830_000)
+    assert not rig.answers
+    rig.run(20_000)
+    assert [answer.verdict for answer in rig.answers] == [Verdict.EXPIRED]
+    assert rig.cancelled == rig.sent
+
+
+def test_loop_that_lags_sheds_at_once_with_advice() -> None:
+    rig = Rig(lag_most_us=100_000)
+    rig.submit(age_us=150_000)
+    assert not rig.sent
+    assert rig.answers[0].verdict is Verdict.REFUSED and rig.answers[0].retry_after_us > 0
+
+
+def test_withdrawn_request_gets_no_answer_and_its_attempt_is_called_off() -> None:
+    rig = Rig()
+    call = rig.submit()
+    rig.core.withdraw(call)
+    rig.core.attempt_ended(rig.sent[0], Result.OK, b"late")
+    rig.run(5_000_000)
+    assert rig.answers == [] and rig.cancelled == rig.sent
+
+
+def test_unsafe_call_that_may_have_run_fails_at_once_and_is_not_sent_again() -> None:
+    rig = Rig()
+    rig.submit("test-submit")
+    rig.core.attempt_ended(rig.sent[0], Result.RESET)
+    assert [(a.verdict, a.ran) for a in rig.answers] == [(Verdict.FAILED, True)]
+    rig.run(5_000_000)
+    assert len(rig.sent) == 1
+
+
+def test_attempt_that_never_ran_goes_elsewhere() -> None:
+    rig = Rig()
+    rig.submit("test-submit")
+    rig.core.attempt_ended(rig.sent[0], Result.CONNECT_FAILED)
+    rig.run(100_000)
+    assert len(rig.sent) == 2 and not rig.answers
+
+
+def test_flood_is_refused() -> None:
+    rig = Rig(open_requests=1)
+    rig.submit()
+    rig.submit()
+    assert [answer.verdict for answer in rig.answers] == [Verdict.REFUSED]
--- /dev/null
+++ b/tests/test_machines.py
@@ -0,0 +1,131 @@
+"""The wire's state machines, fed bytes in odd pieces."""
+
+import json
+import struct
+
+import pytest
+
+from maplestile import interface as api
+from maplestile.core import Outcome, Verdict
+from maplestile.fleet import Fleet, FleetError
+from maplestile.interface import Result
+from maplestile.limits import Limits
+from maplestile.wire import dns, jsonrpc, runner
+from tests.standins import name_bytes, record, target
+
+CLASSES = frozenset({"review"})
+
+
+def message(method: str = "review", **params: object) -> bytes:
+    told = {"txn": "ab", "limit": 900, "item": "f", "blob": "aGk=", "info": "memory_mb:512;lanes:2;odd:x"}
+    return json.dumps({"jsonrpc": "2.0", "id": 7, "method": method, "params": told | params}).encode()
+
+
+def framed(body: bytes) -> bytes:
+    return b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+@pytest.mark.parametrize("step", [1, 3, 64, 10_000])
+def test_messages_are_the_same_in_pieces_of_any_size(step: int) -> None:
+    stream = framed(message()) + framed(message(txn="cd")) + b"content-length:2\r\nX: y\r\n\r\n{}"
+    framer, found = jsonrpc.Framer(Limits()), []
+    for at in range(0, len(stream), step):
+        found += [bytes(view) for view in framer.feed(stream[at : at + step])]
+    assert found == [message(), message(txn="cd"), b"{}"]
+
+
+@pytest.mark.parametrize(
+    "head",
+    [b"Content-Length: -1", b"Content-Length: 1_0", b"Content-Length: 99999", b"A: 1", b"none",
+     b"Content-Length: 1\r\nContent-Length: 2"],
+)  # fmt: skip
+def test_head_without_one_good_length_ends_the_connection(head: bytes) -> None:
+    with pytest.raises(jsonrpc.FramingError):
+        list(jsonrpc.Framer(Limits()).feed(head + b"\r\n\r\n{}"))
+    with pytest.raises(jsonrpc.FramingError):
+        list(jsonrpc.Framer(Limits()).feed(b"x" * 1024))
+
+
+def test_call_takes_class_from_the_method_and_body_from_the_blob() -> None:
+    call = jsonrpc.parse(memoryview(message(second="1", unique="k", cpu=8.2)), Limits(), CLASSES)
+    assert isinstance(call, jsonrpc.Call)
+    request = call.request
+    assert (request.class_name, request.body, request.key, request.repeat) == ("review", b"hi", "k", True)
+    assert (request.budget_us, request.cost_us, request.memory_mb, request.lanes) == (900_000, 8200, 512, 2)
+
+
+@pytest.mark.parametrize(
+    ("body", "code"),
+    [(b"{", -32700), (b"\xff", -32700), (b"[" * 100_000, -32700), (b"[]", -32600), (b'{"id":1}', -32600),
+     (message("nobody"), -32601), (message(blob="?"), -32602), (message(limit=float("nan")), -32602),
+     (message(limit=-5), -32602), (message(txn=5), -32602), (message(blob="A" * 24_000), -32602)],
+)  # fmt: skip
+def test_malformed_message_is_one_error(body: bytes, code: int) -> None:
+    with pytest.raises(jsonrpc.RpcError) as fault:
+        jsonrpc.parse(memoryview(body), Limits(), CLASSES)
+    assert fault.value.code == code
+
+
+def test_refusal_always_says_when_to_come_back() -> None:
+    for told_us, later in ((0, 1), (250_000, 250)):
+        data = jsonrpc.answer(7, Outcome(Verdict.REFUSED, retry_after_us=told_us))
+        error = json.loads(data.partition(b"\r\n\r\n")[2])["error"]
+        assert (error["code"], error["data"]) == (-32050, {"later": later})
+    for verdict in (Verdict.FAILED, Verdict.EXPIRED):
+        data = jsonrpc.answer(7, Outcome(verdict))
+        assert json.loads(data.partition(b"\r\n\r\n")[2])["error"]["code"] != -32050
+
+
+def test_runner_lines_in_pieces_and_with_numbers_as_strings() -> None:
+    lines, found = runner.Lines(1000), []
+    stream = b'{"kind":503,"call":"a"}\n\n{"kind":"200","call":"b","head":{"ahead":"2","stats":"queue:3"}}\n'
+    for at in range(len(stream)):
+        found += [runner.parse(view) for view in lines.feed(stream[at : at + 1])]
+    assert [(a.call, a.result, a.alike) for a in found] == [("a", Result.FULL, 0), ("b", Result.OK, 2)]
+    assert found[1].report == (("queue", 3.0),)
+    for bad in (b"{}", b"[]", b"5", b'{"kind":"9","call":"a"}', b'{"kind":"200","call":"a","bytes":"?"}'):
+        with pytest.raises(runner.LineError):
+            runner.parse(memoryview(bad))
+    with pytest.raises(runner.LineError):
+        list(lines.feed(b"x" * 1001))
+
+
+def reply(flags: int = 0x8400, target_name: bytes = b"") -> bytes:
+    host = name_bytes("s-1.east.hosts")
+    answer = record(b"\xc0\x0c", dns.SRV, struct.pack("!3H", 1, 25, 99) + (target_name or host))
+    extra = record(host, dns.A, bytes([10, 1, 0, 9]))
+    extra += record(host, dns.TXT, b"\x08kind=std\x06cell=2\x09started=5")
+    soa = record(b"\xc0\x0c", dns.SOA, b"\0\0" + struct.pack("!5I", 41, 0, 0, 0, 0))
+    head = struct.pack("!6H", 5, flags, 1, 1, 1, 2)
+    return head + dns.query(5, "_app._tcp.cluster.lan", dns.SRV)[12:] + answer + soa + extra
+
+
+def test_list_is_read_with_compressed_names() -> None:
+    found = dns.parse(reply())
+    entry = api.WorkerEntry("s-1", "east", "std", 2, api.WorkerState.DRAINING, 2.5, 5000)
+    assert list(dns.entries(found)) == [(entry, ("10.1.0.9", 99))]
+    assert found.serial == 41 and not list(found.lacking())
+
+
+def test_cut_looped_and_broken_replies_are_faults() -> None:
+    with pytest.raises(dns.Truncated):
+        dns.parse(reply(0x8600))
+    whole = reply()
+    broken = [reply(0x8403), reply(0), reply(target_name=b"\xc0\xff")]
+    for data in [whole[:n] for n in range(len(whole))] + broken:
+        with pytest.raises(dns.DnsError):
+            dns.parse(data)
+
+
+def test_fleet_takes_changes_in_order_and_no_old_list_brings_back_the_dead() -> None:
+    fleet = Fleet()
+    fleet.apply_known({"index": 3, "updates": [
+        {"index": 1, "endpoints": {"all": True, "targets": [target("a", 1), target("b", 2)]}},
+        {"index": 3, "endpoints": {"all": False, "targets": [target("a", 1, "Gone")]}},
+    ]})  # fmt: skip
+    assert list(fleet.entries) == ["b"] and fleet.version == 3
+    assert not fleet.apply_whole(3, []) and fleet.entries
+    assert fleet.apply_whole(4, list(dns.entries(dns.parse(reply())))) and list(fleet.entries) == ["s-1"]
+    with pytest.raises(FleetError):
+        odd = {"targets": [target("x", 1, "Odd")]}
+        fleet.apply_known({"updates": [{"index": 5, "endpoints": odd}]})
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,109 @@
+"""The runner pool between a core's stand-in and a worker's: what a rule asks is checked at the write."""
+
+import asyncio
+import unittest
+from collections import Counter
+from typing import Any, cast
+
+from maplestile import interface as api
+from maplestile.core import AttemptId, Core, Request
+from maplestile.fleet import Fleet
+from maplestile.interface import Result
+from maplestile.limits import Limits
+from maplestile.net.runners import Runners
+from maplestile.net.stamps import StampedSelector
+from tests.standins import Worker
+
+
+class Ends:
+    """Notes how attempts end."""
+
+    def __init__(self) -> None:
+        self.ended: dict[AttemptId, Result] = {}
+
+    def attempt_ended(self, attempt: AttemptId, result: Result, *_: Any) -> None:
+        self.ended[attempt] = result
+
+
+class PoolTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.now, self.ends, self.worker, self.fleet = 1_000_000, Ends(), Worker(), Fleet()
+        self.pool = Runners(Limits(runner_streams=2, runner_idle_us=5_000_000), lambda: self.now, Counter())
+        self.pool.core = cast(Core, self.ends)
+        self.list()
+
+    def list(
+        self, state: api.WorkerState = api.WorkerState.RUNNING, started_us: int = 0, port: int = 0
+    ) -> None:
+        entry = api.WorkerEntry("s-0", "east", "std", 2, state, 4.0, started_us)
+        self.fleet.apply_whole(self.fleet.version + 1, [(entry, ("127.0.0.1", port or self.worker.port))])
+        self.pool.update(self.fleet)
+
+    def send(self, number: int, body: bytes) -> None:
+        request = Request(f"t{number}", "f", "review", 5_000_000, body=body)
+        self.pool.send((number, 0), "s-0", request, 5_000_000)
+
+    async def until(self, *numbers: int) -> None:
+        async with asyncio.timeout(20):
+            while not all((n, 0) in self.ends.ended for n in numbers):
+                await asyncio.sleep(0.005)
+
+    async def test_send_that_waits_for_its_connection_goes_stale_when_a_drain_is_told(self) -> None:
+        self.send(1, b"x")  # the connection is not up before the loop runs
+        self.list(api.WorkerState.DRAINING)
+        await self.until(1)
+        self.assertEqual((self.ends.ended[1, 0], self.worker.ran), (Result.MOOT, []))
+
+    async def test_streams_are_bounded_and_a_second_connection_is_opened(self) -> None:
+        for n in range(3):
+            self.send(n, b"hang:")
+        self.assertEqual(self.pool.connections, 2)
+        self.pool.cancel((0, 0))
+        self.send(3, b"abc")
+        await self.until(3)
+        self.assertEqual((self.ends.ended[3, 0], self.pool.connections), (Result.OK, 2))
+
+    async def test_restarted_runner_is_not_spoken_to_on_an_old_connection(self) -> None:
+        self.send(1, b"hang:")
+        self.send(2, b"abc")
+        await self.until(2)
+        self.list(started_us=2_000_000)
+        self.assertEqual(self.ends.ended[1, 0], Result.RESET)
+        self.now = 3_000_000
+        self.send(3, b"abc")
+        await self.until(3)
+        self.assertEqual(self.ends.ended[3, 0], Result.OK)
+
+    async def test_idle_connection_is_closed_before_the_runner_does(self) -> None:
+        self.send(1, b"abc")
+        await self.until(1)
+        self.now += 4_000_000
+        self.pool.sweep()
+        self.assertEqual(self.pool.connections, 1)
+        self.now += 1_000_000
+        self.pool.sweep()
+        self.assertEqual(self.pool.connections, 0)
+
+    async def test_refused_connection_proves_that_nothing_ran(self) -> None:
+        self.worker.die()
+        self.send(1, b"abc")
+        await self.until(1)
+        self.assertEqual(self.ends.ended[1, 0], Result.CONNECT_FAILED)
+        self.pool.send((2, 0), "s-unknown", Request("t", "f", "review", 1), 1)
+        self.assertEqual(self.ends.ended[2, 0], Result.CONNECT_FAILED)
+
+    async def test_death_resets_what_was_written(self) -> None:
+        self.send(1, b"die")
+        await self.until(1)
+        self.assertEqual(self.ends.ended[1, 0], Result.RESET)
+
+
+class StampTest(unittest.TestCase):
+    def test_what_a_select_finds_without_waiting_may_be_as_old_as_the_select_before(self) -> None:
+        times = iter([100, 100, 200, 900])
+        selector = StampedSelector(lambda: next(times))
+        self.addCleanup(selector.close)
+        selector.select(0.01)  # waits
+        self.assertEqual(selector.since_us, 200)
+        selector.select(-1)  # after 700 microseconds of work, does not wait
+        self.assertEqual(selector.since_us, 200)
--- /dev/null
+++ b/tests/test_process_invoke.py
@@ -0,0 +1,120 @@
+"""Both fronts of one real process: the same calls end the same way, also when a worker dies mid-call."""
+
+import base64
+import http.client
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from tests.standins import ROOT, Client, Program, Worker, eventually
+
+Answer = tuple[int, bytes, dict[str, str]]
+
+
+class InvokeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.workers = [Worker(), Worker()]
+        text = (ROOT / "deploy" / "operator.toml").read_text()
+        for old, new in (
+            ("127.0.0.1:8080", "127.0.0.1:0"), ("127.0.0.1:8081", "127.0.0.1:0"),
+            ("127.0.0.1:9001", f"127.0.0.1:{self.workers[0].port}"),
+            ("127.0.0.1:9002", f"127.0.0.1:{self.workers[1].port}"),
+        ):  # fmt: skip
+            text = text.replace(old, new)
+        file = Path(tempfile.mkdtemp()) / "operator.toml"
+        file.write_text(text)
+        self.program = Program("serve", str(file))
+        self.addCleanup(self.program.kill)
+        self.port = self.program.port("invoke")
+
+    def ask(self, method: str, path: str, body: bytes = b"", **headers: str) -> Answer:
+        link = http.client.HTTPConnection("127.0.0.1", self.port, timeout=20)
+        told = {"Maplestile-Tenant": "shapla-tutors"} | {k.replace("_", "-"): v for k, v in headers.items()}
+        link.request(method, path, body, told)
+        answer = link.getresponse()
+        found = answer.status, answer.read(), {k.lower(): v for k, v in answer.getheaders()}
+        link.close()
+        return found
+
+    def post(self, function: str, body: bytes, **headers: str) -> Answer:
+        return self.ask("POST", f"/v1/functions/{function}/invocations", body, **headers)
+
+    def final(self, location: str) -> Answer:
+        def look() -> Answer | None:
+            answer = self.ask("GET", location)
+            return answer if answer[0] != 202 else None
+
+        found: Answer = eventually(look, location)
+        return found
+
+    def runs(self, body: bytes) -> int:
+        text = base64.b64encode(body).decode()
+        return sum(call["bytes"] == text for worker in self.workers for call in worker.ran)
+
+    def test_both_fronts_and_both_paths_agree_call_by_call(self) -> None:
+        client = Client(self.program.port("platform"))
+        self.addCleanup(client.close)
+        cases = [
+            ("score-bangla", "review", b"abc", 200), ("make-cards", "deck-make", b"chapter", 200),
+            ("keep-result", "test-submit", b"marks", 200), ("keep-result", "test-submit", b"error:1", 502),
+            ("keep-result", "test-submit", b"die:1", 502), ("keep-result", "test-submit", b"after", 200),
+        ]  # fmt: skip
+        for function, class_name, body, status in cases:
+            if body.startswith(b"die"):
+                # One worker is killed mid-call: the client polls, and the call never runs again.
+                code, _, headers = self.post(function, body, Prefer="respond-async", Idempotency_Key="once")
+                self.assertEqual(code, 202)
+                answer = self.final(headers["location"])
+                self.assertEqual((answer[0], self.runs(body)), (status, 1))
+                again = self.post(function, body, Idempotency_Key="once")
+                self.assertEqual((again[0], again[1], self.runs(body)), (status, answer[1], 1))
+                self.assertEqual(self.final(headers["location"]), answer)
+                continue
+            client.call(class_name, body, item=function, team="shapla-tutors", unique="u")
+            told = client.read() or {}
+            plain = self.post(function, body)
+            deferred = self.post(function, body, Prefer="respond-async")
+            self.assertEqual(deferred[0], 202)
+            later = self.final(deferred[2]["location"])
+            self.assertEqual((plain[0], later[0], "result" in told), (status, status, status == 200), body)
+            self.assertEqual(plain[1], later[1])
+            if status == 200:
+                self.assertEqual(plain[1], body[::-1])
+            self.assertEqual(self.runs(body), 3)
+
+    def test_deferred_result_not_collected_by_its_deadline_is_reported_as_failed(self) -> None:
+        headers = {"Prefer": "respond-async", "Maplestile_Deadline_Ms": "300"}
+        code, _, told = self.post("score-bangla", b"abc", **headers)
+        self.assertEqual(code, 202)
+        eventually(lambda: self.program.counters().get("answers.served"), "the result")
+
+        def lapsed() -> bool:
+            return self.program.counters().get("invoke.lapsed") == 1
+
+        eventually(lapsed, "the deadline")
+        code, body, _ = self.ask("GET", told["location"])
+        self.assertEqual((code, json.loads(body)["status"]), (504, 504))
+        self.assertEqual(self.ask("GET", told["location"])[1], body)
+
+    def test_mistakes_are_told_as_problems(self) -> None:
+        for answer, status in (
+            (self.post("nobody", b""), 404), (self.post("score-bangla", b"", Maplestile_Tenant="x"), 400),
+            (self.post("score-bangla", b"", Maplestile_Class="x"), 400),
+            (self.post("score-bangla", b"", Maplestile_Deadline_Ms="soon"), 400),
+            (self.post("score-bangla", b"a" * 20_000), 413), (self.ask("GET", "/v1/invocations/ab"), 404),
+            (self.ask("PUT", "/v1/functions/score-bangla/invocations"), 405),
+            (self.post("keep-result", b"hang:", Maplestile_Deadline_Ms="200"), 504),
+        ):  # fmt: skip
+            self.assertEqual((answer[0], answer[2]["content-type"]), (status, "application/problem+json"))
+            self.assertEqual(json.loads(answer[1])["status"], status)
+
+    def test_cancel_ends_a_pending_call_and_its_answer_stays(self) -> None:
+        told = self.post("keep-result", b"hang:2", Prefer="respond-async")[2]
+        eventually(lambda: self.runs(b"hang:2"), "the call")
+        code, _, headers = self.ask("GET", told["location"])
+        self.assertEqual((code, "retry-after" in headers), (202, True))
+        self.assertEqual(self.ask("DELETE", told["location"])[0], 204)
+        self.assertEqual(self.ask("GET", told["location"])[0], 410)
+        self.assertEqual(self.ask("DELETE", told["location"])[0], 204)
+        self.assertEqual(self.program.stop(), 0)
--- /dev/null
+++ b/tests/test_process_platform.py
@@ -0,0 +1,82 @@
+"""The real program as the platform runs it, among stand-ins."""
+
+import signal
+import unittest
+
+from tests.standins import Client, NameServer, Worker, eventually, node
+
+
+class PlatformTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.workers, self.names = [Worker(), Worker()], NameServer()
+        self.program = node(self.workers, self.names)
+        self.addCleanup(self.program.kill)
+        self.client = Client(self.program.port("platform"))
+        self.addCleanup(self.client.close)
+
+    def test_check_is_ready_and_calls_are_answered_by_their_ids_in_any_order(self) -> None:
+        check = self.client.send("check")
+        self.assertEqual(self.client.read(), {"jsonrpc": "2.0", "id": check, "result": {"ready": True}})
+        slow = self.client.call("test-submit", b"hang:", limit_ms=600)
+        quick = self.client.call("review", b"abc", unique="k1")
+        self.assertEqual(self.client.read(), {"jsonrpc": "2.0", "id": quick, "result": {"blob": "Y2Jh"}})
+        late = self.client.read()
+        assert late is not None
+        self.assertEqual(late["id"], slow)
+        self.assertNotEqual(late["error"]["code"], -32050)  # it may have run, so it is not refused
+        told = next(call for worker in self.workers for call in worker.ran if call["bytes"] == "YWJj")
+        self.assertEqual((told["head"]["class"], told["head"]["key"]), ("review", "f"))
+        self.assertEqual(told["head"]["once"], "k1")
+        eventually(lambda: [m for w in self.workers for m in w.lines if m["kind"] == "CANCEL"], "a CANCEL")
+
+    def test_malformed_input_gets_an_error_or_a_close_and_the_program_goes_on(self) -> None:
+        for class_name, params in (
+            ("review", {"blob": "%%%"}), ("review", {"limit": "NaN"}), ("review", {"blob": "A" * 24_000}),
+            ("nobody", {}), ("review", {"txn": 5}),
+        ):  # fmt: skip
+            id_ = self.client.call(class_name, b"", **params)
+            answer = self.client.read()
+            assert answer is not None
+            self.assertEqual((answer["id"], "error" in answer), (id_, True))
+        for head in (b"Content-Length: 99999999\r\n\r\n", b"Content-Length: -1\r\n\r\n", b"x" * 2_000):
+            other = Client(self.program.port("platform"))
+            other.socket.sendall(head)
+            answer = other.read()
+            self.assertTrue(answer is None or "error" in answer)
+            self.assertIsNone(other.read())
+            other.close()
+        self.client.call("review", b"abc")
+        self.assertIn("result", self.client.read() or {})
+        self.assertEqual(self.program.counters()["clients.malformed"], 8)
+
+    def test_interrupt_ends_a_call_without_an_answer(self) -> None:
+        id_ = self.client.call("test-submit", b"hang:")
+        eventually(lambda: [c for w in self.workers for c in w.ran], "the call")
+        self.client.send("interrupt", {"id": id_}, id_=id_)
+        eventually(lambda: [m for w in self.workers for m in w.lines if m["kind"] == "CANCEL"], "a CANCEL")
+        check = self.client.send("check")
+        answer = self.client.read()
+        self.assertEqual((answer or {})["id"], check)
+        self.assertEqual(self.program.counters()["requests.withdrawn"], 1)
+
+    def test_lost_and_cut_replies_are_asked_for_again_and_a_gone_worker_gets_nothing(self) -> None:
+        self.names.workers = [("s-1", self.workers[1].port, 0), ("s-0", self.workers[0].port, 1)]
+        self.names.faults = ["lost", "cut", "lost"]
+        self.names.serial = 2
+        eventually(lambda: self.program.counters().get("names.lists"), "the list")
+        for n in range(12):
+            self.client.call("review", b"x", item=f"f{n}")
+            self.assertIn("result", self.client.read() or {})
+        self.assertEqual((len(self.workers[0].ran), len(self.workers[1].ran)), (0, 12))
+
+    def test_sigterm_serves_what_comes_and_then_ends(self) -> None:
+        self.program.process.send_signal(signal.SIGTERM)
+        self.program.find("(asked to stop)")
+        self.client.call("review", b"abc")
+        self.assertIn("result", self.client.read() or {})
+        other = Client(self.program.port("platform"))
+        other.call("review", b"abc")
+        self.assertIn("result", other.read() or {})
+        other.close()
+        self.assertEqual(self.program.process.wait(20), 0)
+        self.assertIn('"requests.taken": 2', self.program.find('^(.*"counters".*)'))
--- /dev/null
+++ b/tests/test_product.py
@@ -0,0 +1,170 @@
+"""The operator's file, the store, the agent and the traces."""
+
+import asyncio
+import io
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from maplestile import traces
+from maplestile.agent import ask
+from maplestile.cli import main
+from maplestile.invoke.operator import OperatorError, parse
+from maplestile.invoke.problems import Response
+from maplestile.invoke.store import Record, Store
+from tests.standins import ROOT, Program
+
+TEXT = (ROOT / "deploy" / "operator.toml").read_text()
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [('class = "review"', 'class = "x"', r"function\[0\].class: must be one of review"),
+     ("memory_mb = 2400", 'memory_mb = "a"', r"function\[0\].memory_mb: must be a number"),
+     ("lanes = 4", "lanes = 0", r"function\[0\].lanes: must be 1 or more"),
+     ("lanes = 4", "lane = 4", r"function\[0\].lane: is not known here"),
+     ('id = "w2"', 'id = "w1"', r"worker\[1\].id: 'w1' stands twice"),
+     ("127.0.0.1:8080", "8080", "invoke.listen: must be host:port"),
+     ("deadline_ms = 5000", "deadline_ms = 5", r"class\[0\].deadline_ms: must be 1000 or more"),
+     ("records = 1000", "records = true", "limits.records: must be a whole number")],
+)  # fmt: skip
+def test_mistake_in_the_operators_file_is_named(old: str, new: str, named: str) -> None:
+    assert parse(TEXT).functions["make-cards"].lanes == 2
+    with pytest.raises(OperatorError, match=named):
+        parse(TEXT.replace(old, new, 1))
+
+
+class Shelf:
+    """A store with timers that are run by hand."""
+
+    def __init__(self) -> None:
+        self.timers: list[tuple[int, Callable[[], object]]] = []
+        self.store = Store(2, 50, lambda due, then: self.timers.append((due, then)), Counter())
+
+    def pass_to(self, now: int) -> None:
+        while due := [timer for timer in self.timers if timer[0] <= now]:
+            self.timers.remove(due[0])
+            due[0][1]()
+
+
+def test_told_answer_never_changes_and_an_uncollected_one_is_failed_and_dropped() -> None:
+    shelf = Shelf()
+    told, left = Record("a", None, b"", 100), Record("b", ("f", "t", "k"), b"", 100)
+    for record in (told, left):
+        shelf.store.add(record)
+        shelf.store.finish(record, Response(200, b"result"))
+        shelf.store.finish(record, Response(502))
+    assert shelf.store.full()
+    first = shelf.store.tell(told)
+    shelf.pass_to(100)
+    assert shelf.store.tell(told) is first and first.status == 200
+    assert shelf.store.tell(left).status == 504 and shelf.store.tell(left).body != b"result"
+    shelf.pass_to(150)
+    assert not shelf.store.records and not shelf.store.by_scope
+
+
+def test_pending_call_is_told_to_its_waiters_once_at_its_deadline() -> None:
+    shelf, heard = Shelf(), list[int]()
+    record = Record("a", None, b"", 100)
+    shelf.store.add(record)
+    record.waiting.append(lambda response: heard.append(response.status))
+    shelf.pass_to(100)
+    shelf.store.finish(record, Response(200))
+    assert heard == [504] and shelf.store.tell(record).status == 504
+
+
+STAYS = """import signal, sys
+def tell(*_):
+    print('{"counters": {"n": 3}}', file=sys.stderr, flush=True)
+signal.signal(signal.SIGUSR1, tell)
+print("up", file=sys.stderr, flush=True)
+while True:
+    signal.pause()
+"""
+
+
+class AgentTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        folder = Path(tempfile.mkdtemp())
+        (folder / "stays.py").write_text(STAYS)
+        file = folder / "agent.toml"
+        file.write_text(f"""[agent]
+listen = "127.0.0.1:0"
+backoff_s = 0.05
+backoff_most_s = 0.1
+[[instance]]
+name = "stays"
+command = ["{sys.executable}", "{folder / "stays.py"}"]
+[[instance]]
+name = "falls"
+command = ["{sys.executable}", "-c", "raise SystemExit(3)"]
+""")
+        self.agent = Program("agent", str(file))
+        self.addCleanup(self.agent.kill)
+
+    async def test_agent_restarts_what_falls_and_stops_what_stands(self) -> None:
+        address = ("127.0.0.1", int(self.agent.find(r"agent listens on 127\.0\.0\.1:(\d+)")))
+        self.agent.find(r"\[stays\] (up)")
+        self.agent.find(r"falls: (ended with 3; starts again in 0\.10 s)")  # doubled
+        told = await ask(address, "status", [])
+        stays, falls = told["instances"]["stays"], told["instances"]["falls"]
+        self.assertEqual((stays["state"], stays["starts"]), ("running", 1))
+        self.assertGreaterEqual(falls["starts"], 2)
+        self.assertEqual(await ask(address, "counters", ["stays"]), {"counters": {"stays": {"n": 3}}})
+        again = await ask(address, "restart", ["stays"])
+        self.assertEqual(again["instances"]["stays"]["starts"], 2)
+        self.assertIn("error", await ask(address, "status", ["nobody"]))
+        stopped = await ask(address, "stop", ["falls"])
+        self.assertEqual(stopped["instances"]["falls"]["state"], "stopped")
+        self.agent.process.send_signal(signal.SIGTERM)
+        self.assertEqual(await asyncio.to_thread(self.agent.process.wait, 20), 0)
+
+
+MINUTES = "HashOwner,HashApp,HashFunction,Trigger," + ",".join(map(str, range(1, 1441)))
+
+
+def test_traces_of_one_day_are_put_together_and_bad_rows_are_named() -> None:
+    counts = ["0"] * 1440
+    counts[0], counts[10] = "60", "1380"
+    trace = traces.Trace()
+    rows = [MINUTES, "o,a,f,http," + ",".join(counts), "o,a,g,http,1", "o,a,h,http," + ",".join(["x"] * 1440)]
+    trace.read(io.StringIO("\n".join(rows)), "day.csv")
+    durations = "HashOwner,HashApp,HashFunction,Average,Count,Minimum,Maximum\no,a,f,250,4,1,900"
+    trace.read(io.StringIO(durations), "d")
+    trace.read(io.StringIO("HashOwner,HashApp,SampleCount,AverageAllocatedMb\no,a,2,100\no,a,2,200"), "m")
+    assert trace.bad == [
+        "day.csv, line 3: 5 fields where 1444 are due",
+        "day.csv, line 4: column 'minute 1' is no number: 'x'",
+    ]
+    (row,) = traces.summary(trace)
+    assert (row["calls"], row["rate_per_s"], row["longest_gap_s"]) == (1440, 0.01667, 600.0)
+    assert (row["mean_ms"], row["most_ms"], row["memory_mb"]) == (250.0, 900.0, 150.0)
+    table = "\n".join(traces.functions(trace, "review", 64))
+    assert parse(TEXT.replace("[[kind]]", table + "\n[[kind]]", 1)).functions["f"].memory_mb == 150.0
+
+
+def test_trace_of_single_calls_and_an_unknown_file(tmp_path: Path, capsys: Any) -> None:
+    file = tmp_path / "calls.csv"
+    file.write_text("app,func,end_timestamp,duration\na,f,1.5,0.5\na,f,4.0,1.0\na,f,x,1\n")
+    assert main(["traces", str(file), "--format", "json"]) == 0
+    out, err = capsys.readouterr()
+    assert '"calls": 2' in out and '"mean_gap_s": 2.0' in out and '"mean_ms": 750.0' in out
+    assert "calls.csv, line 4: column 'end_timestamp'" in err
+    file.write_text("a,b\n1,2\n")
+    assert main(["traces", str(file)]) == 1
+    assert "no trace known here" in capsys.readouterr().err
+
+
+def test_command_line_says_what_is_wrong_without_a_traceback() -> None:
+    for arguments in (["serve", "no-file"], ["status", "--agent", "127.0.0.1:1"], ["agent", "no-file"]):
+        command = [sys.executable, "-m", "maplestile", *arguments]
+        done = subprocess.run(command, capture_output=True, text=True, cwd=ROOT, check=False)
+        assert done.returncode == 1 and "maplestile: " in done.stderr and "Traceback" not in done.stderr
