--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 from maplestile import interface as api
+from maplestile.decide import LATER_US
 from maplestile.state import CACHING, MULTIPLE, SINGLE, Call, Worker
 from tests.helpers import MS, Driver, arrival, ended, entry, finals, fleet, sends, settings
 
@@ -309,9 +310,9 @@
     assert sends(d.give(arrival(2, "f"))) and sends(d.give(arrival(3, "g", "unsafe")))
     d.run(1_000 * MS)
     early = [(t, a) for t, a in d.log if isinstance(a, api.Refuse | api.Fail)]
-    assert [a for _, a in early] == [api.Refuse(2, 0)] and early[0][0] <= begun + 1_000 * MS
+    assert [a for _, a in early] == [api.Refuse(2, LATER_US)] and early[0][0] <= begun + 1_000 * MS
     d.run(2_500 * MS)
-    assert finals([a for _, a in d.log]) == [api.Refuse(2, 0), api.Fail(3)]
+    assert finals([a for _, a in d.log]) == [api.Refuse(2, LATER_US), api.Fail(3)]
 
 
 def test_bounced_call_of_a_hot_function_looks_at_few_of_its_seats() -> None:
