--- a/maplestile/core.py
+++ b/maplestile/core.py
@@ -265,7 +265,8 @@
     def _send(self, action: api.Send) -> None:
         call, now = self.open.get(action.call), self.clock()
         if call is None:
-            return  # the module knows that this call is over
+            self.counters["attempts.void"] += 1  # over since the decision; the module hears of that next
+            return
         attempt = (action.call, call.attempts)
         call.attempts += 1
         wait_us = min(action.timeout_us or call.due_us - now, call.due_us - now)
--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -14,7 +14,7 @@
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)  # the wire's proofs
 BAD = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)  # symptoms of an unwell worker
 ANSWER_TICKS = 2  # ticks before the budget's end at which the final answer goes out: one to act, one spare
-PAUSE_TICKS, HELD_SERVICES, HELD_LOADS = 4, 0.2, 0.02  # till a held call's next try: parts of what it awaits
+PAUSE_TICKS, HELD_SERVICES, HELD_LOADS = 4, 0.2, 0.01  # till a held call's next try: parts of what it awaits
 SERVICE_AIMS, LOAD_AIMS = 0.25, 1.0  # of the aim: service and load times until some were seen
 LEARN = 0.2  # share of a new sample in every running mean: about the last ten samples count
 HEAT_KEEPS, PRIOR_CALLS = 1.5, 15.0  # keep-alives in which heat halves; other calls assumed at the start
@@ -24,6 +24,7 @@
 OVERFLOW, CHOICES = 2, 3  # workers past the seats that an overflow may reach; seats drawn for one choice
 PRESUMED = 2.0  # calls of the other dispatchers expected at a seat in one keep-alive, to presume a copy there
 HOLD_SHARE = 0.5  # of the fleet's memory: what all caching lists may hold, the rest is for working copies
+LOAD_PART = 0.06  # of that part: loads that all dispatchers may have under way at a time
 HOLD_LEAD, SWEEPS = 0.7, 20  # of the keep-alive: an idle copy is renewed from then on; looks at it in one
 SINGLE_ROWS = 4  # single-list rows for each caching row, so that a second call still meets its first
 SILENT_SERVICES = 3.0  # expected times without any answer after which a worker counts as silent
@@ -247,8 +248,10 @@
         return copy.loading_us > 0 and self.now >= copy.loading_us + way_us * copy.ordered
 
     def may_load(self) -> bool:
-        """Own loads under way stay under this dispatcher's part of the fleet: the store is not stampeded."""
-        return len(self.loads) < max(2, len(self.workers) // max(1, self.set.dispatchers))
+        """Own loads under way stay under this dispatcher's part of the fleet: the store is not stampeded.
+        Few workers may be large ones: then the part is counted in the copies that they can hold."""
+        fleet = max(len(self.workers), int(LOAD_PART * self.capacity))
+        return len(self.loads) < max(2, fleet // max(1, self.set.dispatchers))
 
     def running(self, worker: Worker) -> bool:
         """Rule 3, kept without using the grace: nothing new once told of a drain."""
--- a/maplestile/net/runners.py
+++ b/maplestile/net/runners.py
@@ -107,6 +107,9 @@
         if message in connection.queue:  # never written: nothing to call off
             connection.queue.remove(message)
             return
+        # A tag that a client has used twice at once may stand for another attempt by now.
+        if connection.open.get(message.tag) != attempt:
+            return
         del connection.open[message.tag]
         self._write(connection, Message(wire.cancel(message.tag), False))
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -336,3 +336,15 @@
         for send in sends(d.give(arrival(call, "hot"))):
             d.give(ended(call, 0, send.worker, api.Result.FULL, MS))
     assert visited <= 20 * 60
+
+
+def test_few_large_workers_may_load_many_functions_at_once() -> None:
+    """On days with six workers of a thousand copies each a cap of two loads held most calls back."""
+    d = Driver(settings(dispatchers=3, kind_memory_mb=(("k", 400_000.0),)), WORKERS)
+    for call in range(10):
+        d.give(arrival(call, f"f{call}"))
+    assert len(sends([a for _, a in d.log])) == 10
+    small = Driver(settings(dispatchers=3), WORKERS)
+    for call in range(10):
+        small.give(arrival(call, f"f{call}"))
+    assert len(sends([a for _, a in small.log])) < 10
