A full answer to a call that needed a load bars that function there, not its class

Ruled out: the load cap (264 of 138,331 holds), suspicion (1,389), room (2,807). Now such an answer bars the function at that worker for a fifth of a load.

--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -13,7 +13,8 @@
 
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)  # the wire's proofs
 BAD = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)  # symptoms of an unwell worker
-ANSWER_TICKS = 2  # ticks before the budget's end at which the final answer goes out: one to act, one spare
+ANSWER_TICKS, ANSWER_US = 2, 25_000  # before the budget's end, at which the last answer goes out: a busy
+# process acts late, and an answer past the deadline is a lost call
 PAUSE_TICKS, HELD_SERVICES, HELD_LOADS = 4, 0.2, 0.01  # till a held call's next try: parts of what it awaits
 SERVICE_AIMS, LOAD_AIMS = 0.25, 1.0  # of the aim: service and load times until some were seen
 LEARN = 0.2  # share of a new sample in every running mean: about the last ten samples count
@@ -24,7 +25,7 @@
 OVERFLOW, CHOICES = 2, 3  # workers past the seats that an overflow may reach; seats drawn for one choice
 PRESUMED = 2.0  # calls of the other dispatchers expected at a seat in one keep-alive, to presume a copy there
 HOLD_SHARE = 0.5  # of the fleet's memory: what all caching lists may hold, the rest is for working copies
-LOAD_PART = 0.06  # of that part: loads that all dispatchers may have under way at a time
+LOAD_PART, LOADS_EACH = 0.06, 4  # loads that all may have under way: of that part, at most for each worker
 HOLD_LEAD, SWEEPS = 0.7, 20  # of the keep-alive: an idle copy is renewed from then on; looks at it in one
 SINGLE_ROWS = 4  # single-list rows for each caching row, so that a second call still meets its first
 SILENT_SERVICES = 3.0  # expected times without any answer after which a worker counts as silent
@@ -35,6 +36,7 @@
 RAMP_SAFETY = 0.45  # of the rule's limit that the fleet's sends to a cold worker may fill on the mean
 SPELL_US = 2_000_000  # time added to a dispatcher's life, so that its first calls do not read as a rush
 ROOM_MEANS, QUEUE_LANES = 2.0, 2.0  # own calls: fleet means at a worker; for each lane, to queue at a copy
+FULL_LOADS = 0.2  # of a load: a function's pause at a worker that had no room to load it
 FULL_SERVICES, FULL_DOUBLINGS = 0.5, 5  # service times paused after a full answer; the next ones double it
 SHED_AT, SHED_GAIN, SHED_MOST = 0.25, 2.0, 0.6  # late share from which calls are refused; how many, at most
 LATE_US, LATE_LEARN = 3_000_000, 0.1  # time over which the late share is learned, and the most of one sample
@@ -160,7 +162,8 @@
         # In overload an answer past its aim is given up: its place goes to a call that can still be in time.
         hurried = self.late > SHED_AT and kind.effect is Effect.SAFE and kind.late_worth < LATE_WORTH
         budget_us = min(event.budget_us, kind.aim_us) if hurried else event.budget_us
-        due_us = self.now + max(0, budget_us - ANSWER_TICKS * self.set.tick_us)
+        spare_us = max(ANSWER_TICKS * self.set.tick_us, min(ANSWER_US, budget_us // 20))
+        due_us = self.now + max(0, budget_us - spare_us)
         call = Call(event.call, row, kind, f"{kind.name} {event.tenant}", self.now, due_us)
         self.calls[call.id] = call
         self.arrivals.add(self.now)
@@ -250,7 +253,7 @@
     def may_load(self) -> bool:
         """Own loads under way stay under this dispatcher's part of the fleet: the store is not stampeded.
         Few workers may be large ones: then the part is counted in the copies that they can hold."""
-        fleet = max(len(self.workers), int(LOAD_PART * self.capacity))
+        fleet = max(len(self.workers), min(int(LOAD_PART * self.capacity), LOADS_EACH * len(self.workers)))
         return len(self.loads) < max(2, fleet // max(1, self.set.dispatchers))
 
     def running(self, worker: Worker) -> bool:
@@ -260,7 +263,7 @@
     def may_send(self, call: Call, worker: Worker) -> bool:
         """One gate before every send, retry and second copy: rules 1 to 4."""
         if call.streaming or not self.running(worker) or self.now >= call.due_us: return False
-        if self.now < worker.full_us.get(call.group, 0): return False
+        if self.now < max(worker.full_us.get(call.group, 0), call.row.copy(worker).full_us): return False
         if not call.attempts: return self.ramp_allows(worker, call)
         ran = [a for a in call.attempts if a.result not in NEVER_RAN]
         tried = any(a.worker is worker and a.result not in (Result.MISS, Result.FULL) for a in call.attempts)
@@ -329,7 +332,7 @@
         row, worker = call.row, attempt.worker
         copy, attempt.result = row.copy(worker), event.result
         for busy in (copy, row, worker): busy.busy -= 1
-        self.judge(call, worker, event)
+        self.judge(call, attempt, event)
         if event.result is Result.OK: self.learn(call, attempt, event)
         elif event.result is Result.MISS or event.warmth is Warmth.LOAD_FAILED:
             self.on_miss(row, attempt, event)
@@ -417,9 +420,13 @@
         if self.set.may_cancel and not call.streaming:
             self.out.extend(api.Cancel(call.id, a.number) for a in call.outstanding())
 
-    def judge(self, call: Call, worker: Worker, event: api.AttemptEnded) -> None:
+    def judge(self, call: Call, attempt: Attempt, event: api.AttemptEnded) -> None:
         """Symptoms by worker and group, a class of one tenant: some troubles hit one and spare the others."""
-        if event.result is Result.FULL:
+        worker, copy = attempt.worker, call.row.copy(attempt.worker)
+        if event.result is Result.FULL and attempt.loads:
+            # No room for one more load there: that bars this function, and no call of what stands loaded.
+            copy.full_us, call.row.home = self.now + int(FULL_LOADS * call.row.load_us), ""
+        elif event.result is Result.FULL:
             worker.fulls[call.group] = worker.fulls.get(call.group, 0) + 1
             pauses = FULL_SERVICES * 2 ** min(FULL_DOUBLINGS, worker.fulls[call.group] - 1)
             worker.full_us[call.group] = self.now + int(pauses * call.row.service_us)
--- a/maplestile/state.py
+++ b/maplestile/state.py
@@ -38,6 +38,7 @@
     loading_us: int = 0
     ordered: bool = False
     absent_us: int = 0
+    full_us: int = 0
 
 
 @dataclass(slots=True, eq=False)
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,79 @@
+"""The platform's front over real sockets, before a core whose pool answers nothing."""
+
+import asyncio
+import json
+import unittest
+from collections import Counter
+
+from maplestile.limits import Limits
+from maplestile.net.platform import Platform
+from tests.test_core import Rig
+from tests.test_machines import framed, message
+
+LIMITS = Limits(client_connections=2, client_streams=2, client_write_bytes=100_000)
+
+
+class FrontTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.rig, self.counters, self.ready = Rig(), Counter[str](), False
+        self.front = Platform(
+            self.rig.core, LIMITS, self.counters, lambda: self.rig.now, lambda: self.ready
+        )
+        self.server = await self.front.start("127.0.0.1", 0)
+        self.addCleanup(self.server.close)
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        port = self.server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def answer(self, reader: asyncio.StreamReader) -> dict[str, object]:
+        async with asyncio.timeout(20):
+            head = await reader.readuntil(b"\r\n\r\n")
+            told: dict[str, object] = json.loads(await reader.readexactly(int(head.split(b":")[1])))
+            return told
+
+    async def test_check_is_ready_only_when_the_program_is(self) -> None:
+        reader, writer = await self.connect()
+        for self.ready in (False, True):
+            writer.write(framed(b'{"id":1,"method":"check"}'))
+            self.assertEqual((await self.answer(reader))["result"], {"ready": self.ready})
+
+    async def test_streams_of_a_connection_and_open_ids_are_bounded(self) -> None:
+        reader, writer = await self.connect()
+        call = json.loads(message(limit=9_000))
+        for id_ in (1, 1, 2, 3):  # the second 1 is open already, the 3 is one too many
+            writer.write(framed(json.dumps(call | {"id": id_}).encode()))
+        errors = [await self.answer(reader) for _ in range(2)]
+        self.assertEqual([error["id"] for error in errors], [None, 3])
+        self.assertEqual(len(self.rig.core.open), 2)
+
+    async def test_ids_belong_to_their_connection_and_a_lost_client_gives_up_its_calls(self) -> None:
+        pairs = [await self.connect() for _ in range(2)]
+        for _, writer in pairs:
+            writer.write(framed(message(limit=9_000)))
+        async with asyncio.timeout(20):
+            while len(self.rig.core.open) < 2:
+                await asyncio.sleep(0.005)
+            third, _ = await self.connect()  # the descriptors are budgeted
+            with self.assertRaises((asyncio.IncompleteReadError, ConnectionError)):
+                await third.readexactly(1)
+            pairs[0][1].transport.abort()
+            self.front._write(next(iter(self.front.clients)), b"")
+            while len(self.rig.core.open) > 1 and not self.rig.core.counters["requests.withdrawn"]:
+                for client in list(self.front.clients):
+                    self.front._write(client, framed(b"{}"))  # a dead peer shows at a write at the latest
+                await asyncio.sleep(0.005)
+        self.assertEqual(self.counters["clients.turned_away"], 1)
+
+    async def test_client_that_reads_nothing_is_let_go(self) -> None:
+        _, writer = await self.connect()
+        writer.write(framed(message(limit=9_000)))
+        async with asyncio.timeout(20):
+            while not self.rig.core.open:
+                await asyncio.sleep(0.005)
+            self.front._write(next(iter(self.front.clients)), b"x" * 50_000_000)
+            while self.front.clients:
+                await asyncio.sleep(0.005)
+        self.assertEqual((self.counters["clients.too_slow"], self.rig.core.open), (1, {}))
