--- a/maplestile/core.py
+++ b/maplestile/core.py
@@ -209,6 +209,11 @@
         self.armed = 0
         self._arm()
 
+    def catch_up(self) -> None:
+        """For drivers in the midst of much input: a deadline must not wait until all of it is handled."""
+        if self.ticks and self.ticks[0] * self.settings.tick_us <= self.clock():
+            self.tick()
+
     def _arm(self) -> None:
         if self.ticks and not 0 < self.armed <= self.ticks[0]:
             self.armed = self.ticks[0]
@@ -305,8 +310,8 @@
     def _fail(self, call: int) -> None:
         owed = self.open.get(call)
         if owed is not None:
-            # The module answers a few ticks before the deadline; that, too, is time run out.
-            over = self.clock() >= owed.due_us - 8 * self.settings.tick_us
+            # The module answers a little before the deadline; that, too, is time run out.
+            over = self.clock() >= owed.due_us - owed.request.budget_us // 16 - 2 * self.settings.tick_us
             self._finish(call, Outcome(Verdict.EXPIRED if over else Verdict.FAILED, ran=owed.ran))
 
     def _finish(self, call: int, outcome: Outcome) -> None:
--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -13,8 +13,9 @@
 
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)  # the wire's proofs
 BAD = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)  # symptoms of an unwell worker
-ANSWER_TICKS, ANSWER_US = 2, 25_000  # before the budget's end, at which the last answer goes out: a busy
+ANSWER_TICKS, ANSWER_US = 2, 60_000  # before the budget's end, at which the last answer goes out: a busy
 # process acts late, and an answer past the deadline is a lost call
+PAUSE_US = 16_000  # the least such wait, whatever the tick: polling must not eat the processor
 PAUSE_TICKS, HELD_SERVICES, HELD_LOADS = 4, 0.2, 0.01  # till a held call's next try: parts of what it awaits
 SERVICE_AIMS, LOAD_AIMS = 0.25, 1.0  # of the aim: service and load times until some were seen
 LEARN = 0.2  # share of a new sample in every running mean: about the last ten samples count
@@ -185,7 +186,7 @@
         if self.now > call.since_us + call.kind.aim_us and self.may_refuse(call): self.finish(call)
         elif self.now >= call.row.retry_us:  # one timer a row: held calls must not storm the module
             awaited_us = max(HELD_SERVICES * call.row.service_us, HELD_LOADS * call.row.load_us)
-            wait_us = int(max(PAUSE_TICKS * self.set.tick_us, awaited_us))
+            wait_us = int(max(PAUSE_US, awaited_us))
             call.row.retry_us = self.now + wait_us
             self.timer(wait_us, lambda: self.wake(call.row))
 
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -50,6 +50,7 @@
                 received_us = self.received()
                 for view in framer.feed(data):
                     self._message(client, view, received_us)
+                    self.core.catch_up()
             # A client that only ends its own side still waits for what it asked.
             while client.calls and not writer.is_closing():
                 client.idle.clear()
--- a/maplestile/net/runners.py
+++ b/maplestile/net/runners.py
@@ -196,6 +196,7 @@
                 connection.used_us = self.clock()
                 for line in lines.feed(data):
                     self._answer(connection, line)
+                    self.core.catch_up()
                 self._flush(connection)
         except wire.LineError as fault:
             self.counters["runners.malformed"] += 1
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -21,6 +21,8 @@
     def __init__(self) -> None:
         self.ended: dict[AttemptId, Result] = {}
 
+    def catch_up(self) -> None: ...
+
     def attempt_ended(self, attempt: AttemptId, result: Result, *_: Any) -> None:
         self.ended[attempt] = result
 
