Stamp what a stream's reader gets with the select that found its bytes

At fault: a stream's reader runs one turn of the loop after the select that found its bytes (StreamReader wakes it by call_soon), so Node._received told a time one turn too late, and deadlines were met that much late. A test steps the selector. Counters now tell the longest turn of the loop and the longest collection.

--- a/maplestile/__main__.py
+++ b/maplestile/__main__.py
@@ -54,7 +54,7 @@
         self.limits = Limits.of(settings, int(told.get("sockets", 1024)))
         self.listen = address(config["listen"]) if "listen" in config else None
         self.dns = address(config["dns"]) if "dns" in config else None
-        self.operator, self.selector = operator, selector
+        self.operator, self.selector, self.collecting_s = operator, selector, 0.0
         self.counters: Counter[str] = Counter()
         self.fleet = Fleet()
         self.fleet.apply_known(config.get("known", {"updates": []}))
@@ -85,6 +85,7 @@
         loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
         loop.add_signal_handler(signal.SIGINT, self.stopping.set)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
+        gc.callbacks.append(self._collected)
         self.runners.update(self.fleet)
         self.core.list_changed(self.fleet.event(ListKind.CACHED))
         servers = await self._listen()
@@ -125,7 +126,7 @@
         log.info("%s: %s front listens on %s:%d, %d runners known", self.name, front, host, port, known)
 
     def _received(self) -> int:
-        return self.selector.since_us
+        return self.selector.read_us
 
     def _task_ended(self, task: asyncio.Task[None]) -> None:
         if not task.cancelled() and task.exception() is not None:
@@ -144,7 +145,16 @@
             await asyncio.sleep(DRAIN_LOOK_S)
         log.info("%s stops; nothing is owed", self.name)
 
+    def _collected(self, phase: str, info: dict[str, int]) -> None:
+        """Keeps the longest pause that the collector made; each one stops the loop."""
+        now = time.perf_counter()
+        if phase == "stop":
+            pause_us = int((now - self.collecting_s) * 1e6)
+            self.counters["gc.longest_us"] = max(self.counters["gc.longest_us"], pause_us)
+        self.collecting_s = now
+
     def print_counters(self) -> None:
+        self.counters["loop.longest_us"] = int(self.selector.busiest_s * 1e6)
         told = {name: self.counters[name] for name in sorted(self.counters)}
         print(json.dumps({"counters": told}), file=sys.stderr, flush=True)
 
--- a/maplestile/net/stamps.py
+++ b/maplestile/net/stamps.py
@@ -13,11 +13,16 @@
     def __init__(self, clock: Callable[[], int]) -> None:
         super().__init__()
         self.clock, self.since_us, self.returned_us = clock, clock(), clock()
+        self.read_us = self.since_us
+        self.busiest_s, self.returned_s = 0.0, time.perf_counter()
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         began = time.perf_counter()
+        self.read_us = self.since_us  # a stream's reader runs one turn after the select that found its bytes
+        self.busiest_s = max(self.busiest_s, began - self.returned_s)
         found = super().select(timeout)
-        now, waited = self.clock(), time.perf_counter() - began > WAITED_S
+        self.returned_s = time.perf_counter()
+        now, waited = self.clock(), self.returned_s - began > WAITED_S
         # Without a wait the event may be as old as the select before, whose work has kept the loop busy.
         self.since_us = now if waited else self.returned_us
         self.returned_us = now
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -102,10 +102,12 @@
 
 class StampTest(unittest.TestCase):
     def test_what_a_select_finds_without_waiting_may_be_as_old_as_the_select_before(self) -> None:
-        times = iter([100, 100, 200, 900])
+        times = iter([100, 100, 200, 900, 1_500])
         selector = StampedSelector(lambda: next(times))
         self.addCleanup(selector.close)
         selector.select(0.01)  # waits
         self.assertEqual(selector.since_us, 200)
         selector.select(-1)  # after 700 microseconds of work, does not wait
         self.assertEqual(selector.since_us, 200)
+        selector.select(-1)  # the reader of what the last one found runs only now
+        self.assertEqual((selector.read_us, selector.since_us), (200, 900))
--- a/tests/test_process_platform.py
+++ b/tests/test_process_platform.py
@@ -57,7 +57,9 @@
         check = self.client.send("check")
         answer = self.client.read()
         self.assertEqual((answer or {})["id"], check)
-        self.assertEqual(self.program.counters()["requests.withdrawn"], 1)
+        counters = self.program.counters()
+        self.assertEqual(counters["requests.withdrawn"], 1)
+        self.assertGreater(counters["loop.longest_us"], 0)
 
     def test_lost_and_cut_replies_are_asked_for_again_and_a_gone_worker_gets_nothing(self) -> None:
         self.names.workers = [("s-1", self.workers[1].port, 0), ("s-0", self.workers[0].port, 1)]
