--- a/maplestile/core.py
+++ b/maplestile/core.py
@@ -311,7 +311,7 @@
         owed = self.open.get(call)
         if owed is not None:
             # The module answers a little before the deadline; that, too, is time run out.
-            over = self.clock() >= owed.due_us - owed.request.budget_us // 16 - 2 * self.settings.tick_us
+            over = self.clock() >= owed.due_us - owed.request.budget_us // 8 - 2 * self.settings.tick_us
             self._finish(call, Outcome(Verdict.EXPIRED if over else Verdict.FAILED, ran=owed.ran))
 
     def _finish(self, call: int, outcome: Outcome) -> None:
--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -13,7 +13,7 @@
 
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)  # the wire's proofs
 BAD = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)  # symptoms of an unwell worker
-ANSWER_TICKS, ANSWER_US = 2, 60_000  # before the budget's end, at which the last answer goes out: a busy
+ANSWER_TICKS, ANSWER_US = 2, 120_000  # before the budget's end, at which the last answer goes out: a busy
 # process acts late, and an answer past the deadline is a lost call
 PAUSE_US = 16_000  # the least such wait, whatever the tick: polling must not eat the processor
 PAUSE_TICKS, HELD_SERVICES, HELD_LOADS = 4, 0.2, 0.01  # till a held call's next try: parts of what it awaits
@@ -163,7 +163,7 @@
         # In overload an answer past its aim is given up: its place goes to a call that can still be in time.
         hurried = self.late > SHED_AT and kind.effect is Effect.SAFE and kind.late_worth < LATE_WORTH
         budget_us = min(event.budget_us, kind.aim_us) if hurried else event.budget_us
-        spare_us = max(ANSWER_TICKS * self.set.tick_us, min(ANSWER_US, budget_us // 20))
+        spare_us = max(ANSWER_TICKS * self.set.tick_us, min(ANSWER_US, budget_us // 10))
         due_us = self.now + max(0, budget_us - spare_us)
         call = Call(event.call, row, kind, f"{kind.name} {event.tenant}", self.now, due_us)
         self.calls[call.id] = call
--- a/maplestile/limits.py
+++ b/maplestile/limits.py
@@ -15,7 +15,7 @@
     client_streams: int = 32
     client_write_bytes: int = 1 << 20
     open_requests: int = 20_000
-    lag_most_us: int = 100_000
+    lag_most_us: int = 60_000
     body_bytes: int = 16 * 1024
     head_bytes: int = 1024
     message_bytes: int = 32 * 1024
