Await the end of a cancelled read before the next one on a kept connection

Seen on the README's walk-through: RuntimeError from StreamReader.read in the router's log, at the second read of a connection. At fault: Exchange._answer cancelled its read and went on. A test keeps one connection for three calls.

--- a/maplestile/invoke/http.py
+++ b/maplestile/invoke/http.py
@@ -124,7 +124,9 @@
                     self.wire.receive_data(data)
                 finally:
                     if not reading.done():
+                        # Its end is awaited: the next read on a kept connection would meet it still there.
                         reading.cancel()
+                        await asyncio.wait((reading,))
             self.ahead = 0
             return answer.result()
         finally:
--- a/tests/test_process_invoke.py
+++ b/tests/test_process_invoke.py
@@ -97,6 +97,17 @@
         self.assertEqual((code, json.loads(body)["status"]), (504, 504))
         self.assertEqual(self.ask("GET", told["location"])[1], body)
 
+    def test_connection_is_kept_for_one_call_after_the_other(self) -> None:
+        link = http.client.HTTPConnection("127.0.0.1", self.port, timeout=20)
+        self.addCleanup(link.close)
+        for body in (b"one", b"two", b"three"):
+            path, tenant = "/v1/functions/score-bangla/invocations", {"Maplestile-Tenant": "shapla-tutors"}
+            link.request("POST", path, body, tenant)
+            answer = link.getresponse()
+            self.assertEqual((answer.status, answer.read()), (200, body[::-1]))
+        self.assertEqual(self.program.counters()["invoke.connections"], 1)
+        self.assertFalse([line for line in self.program.log if "Error" in line])
+
     def test_mistakes_are_told_as_problems(self) -> None:
         for answer, status in (
             (self.post("nobody", b""), 404), (self.post("score-bangla", b"", Maplestile_Tenant="x"), 400),
