Call the module's proofs, one head writer and one closing loop; drop dead fields

Found on rereading the whole change; behaviour stays as it is. core.NEVER_RAN was decide's again; the Content-Length head was written in two places; three loops closed unused runner connections.

--- a/maplestile/cli.py
+++ b/maplestile/cli.py
@@ -71,11 +71,8 @@
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s", stream=sys.stderr)
     plan = agent.load(file)
 
-    async def run() -> None:
-        await agent.Agent(plan).run()
-
     try:
-        asyncio.run(run())
+        asyncio.run(agent.Agent(plan).run())
     except OSError as fault:
         print(f"maplestile: the agent cannot listen: {fault}", file=sys.stderr)
         return 1
--- a/maplestile/core.py
+++ b/maplestile/core.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from maplestile import interface as api
-from maplestile.decide import Dispatcher
+from maplestile.decide import NEVER_RAN, Dispatcher
 from maplestile.interface import Result
 from maplestile.limits import Limits
 
@@ -91,9 +91,6 @@
     sent_us: int
 
 
-NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)
-
-
 @dataclass(slots=True)
 class Core:
     settings: api.Settings
--- a/maplestile/limits.py
+++ b/maplestile/limits.py
@@ -31,7 +31,6 @@
     # The name server: polled well inside the 1.5 s after which a change counts as told.
     names_poll_us: int = 250_000
     names_timeout_us: int = 150_000
-    names_bytes: int = 8_192
     # The end: connections still come for 0.4 s after SIGTERM, requests on open ones for 0.2 s more.
     drain_least_us: int = 900_000
     read_bytes: int = 64 * 1024
--- a/maplestile/net/runners.py
+++ b/maplestile/net/runners.py
@@ -87,9 +87,7 @@
         for uid in [u for u in self.runners if u not in fleet.entries]:
             runner = self.runners[uid]
             runner.listed = runner.takes_new = False
-            for connection in list(runner.connections):
-                if not connection.streams():
-                    self._close(connection, Result.RESET)
+            self._close_unused(runner)
             if not runner.connections:
                 del self.runners[uid]
 
@@ -134,24 +132,25 @@
                     connection.errands.pop(name, None)
 
     def close_idle(self, worker: str) -> None:
-        runner = self.runners.get(worker)
-        for connection in list(runner.connections) if runner else []:
-            if not connection.streams():
-                self._close(connection, Result.RESET)
+        if (runner := self.runners.get(worker)) is not None:
+            self._close_unused(runner)
 
     def sweep(self) -> None:
         """Close what lies idle before the runner does: a send that meets its close would be lost."""
         now = self.clock()
         for runner in list(self.runners.values()):
-            for connection in list(runner.connections):
-                idle = not connection.streams() and now - connection.used_us >= self.limits.runner_idle_us
-                if idle or (not runner.listed and not connection.streams()):
-                    self._close(connection, Result.RESET)
+            self._close_unused(runner, now - self.limits.runner_idle_us if runner.listed else None)
             if not runner.listed and not runner.connections:
                 self.runners.pop(runner.uid, None)
 
     # Connections.
 
+    def _close_unused(self, runner: Runner, since_us: int | None = None) -> None:
+        """Close what carries nothing, and where a time is given has carried nothing since then."""
+        for connection in list(runner.connections):
+            if not connection.streams() and (since_us is None or connection.used_us <= since_us):
+                self._close(connection, Result.RESET)
+
     def _put(self, worker: str, message: Message) -> bool:
         runner = self.runners.get(worker)
         if runner is None:
--- a/maplestile/traces.py
+++ b/maplestile/traces.py
@@ -56,7 +56,6 @@
     rows: int = 0
     first_s: float = math.inf
     last_s: float = -math.inf
-    days: dict[str, int] = field(default_factory=dict)
 
     def usage(self, owner: str, app: str, name: str) -> Usage:
         if not app or not name:
@@ -124,7 +123,6 @@
                 usage.gap_most_s = max(usage.gap_most_s, at_s - usage.last_s)
                 usage.gap_sum_s += at_s - usage.last_s
                 usage.gaps += 1
-            usage.gap_sum_s += 0.0
             usage.gaps += int(count) - 1  # within a minute calls are taken as close together
             usage.last_s = at_s
 
--- a/maplestile/wire/jsonrpc.py
+++ b/maplestile/wire/jsonrpc.py
@@ -38,7 +38,6 @@
 class Interrupt:
     id: int | None
     txn: str | None
-    answer_to: int | None
 
 
 @dataclass(slots=True, frozen=True)
@@ -84,7 +83,10 @@
 
 
 def frame(message: dict[str, Any]) -> bytes:
-    body = json.dumps(message, separators=(",", ":")).encode()
+    return _framed(json.dumps(message, separators=(",", ":")).encode())
+
+
+def _framed(body: bytes) -> bytes:
     return b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
 
 
@@ -103,9 +105,7 @@
         target, txn = params.get("id"), params.get("txn")
         if not isinstance(target, int) and txn is None:
             target = number
-        return Interrupt(
-            target if isinstance(target, int) else None, txn if isinstance(txn, str) else None, number
-        )
+        return Interrupt(target if isinstance(target, int) else None, txn if isinstance(txn, str) else None)
     if number is None:
         raise RpcError(INVALID_REQUEST, "field 'id' is no number")
     if method == "check":
@@ -182,8 +182,8 @@
 def answer(id_: int, outcome: Outcome) -> bytes:
     if outcome.verdict is Verdict.SERVED:
         blob = binascii.b2a_base64(outcome.body, newline=False)
-        body = b'{"jsonrpc":"2.0","id":%d,"result":{"blob":"%b"}}' % (id_, blob)
-        return b"Content-Length: %d\r\n\r\n%b" % (len(body), body)  # by hand: the hot path's answer
+        # By hand: the hot path's answer.
+        return _framed(b'{"jsonrpc":"2.0","id":%d,"result":{"blob":"%b"}}' % (id_, blob))
     if outcome.verdict is Verdict.REFUSED:
         later = max(1, outcome.retry_after_us // 1000)
         return error(id_, REFUSED, "refused", {"later": later})
