Reload at SIGHUP: read the configuration whole, then move the name queries live

Cause: __main__.Node.run set handlers for SIGTERM, SIGINT and SIGUSR1 only; SIGHUP's default ends the program.

A new Config is parsed whole before anything is swapped; a bad file is logged and counted and the old one stays. A new dns address gets a Names task with its own socket, the old one's queries end, and the fleet's serial goes on. What only a restart can take is logged by field. The operator's file reloads the same way (functions, tenants, limits, workers), and the agent asks for it with `maplestile reload`.

Tests fail without it: the program ended at the signal.

--- a/maplestile/agent.py
+++ b/maplestile/agent.py
@@ -18,7 +18,7 @@
 from maplestile.invoke.operator import OperatorError, Table
 
 log = logging.getLogger("maplestile.agent")
-LINE_BYTES, ASK_S, COUNTERS_S = 65_536, 60.0, 3.0
+LINE_BYTES, ASK_S, ANSWER_S = 65_536, 60.0, 3.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -26,6 +26,7 @@
     name: str
     command: tuple[str, ...]
     environment: tuple[tuple[str, str], ...]
+    reloads: bool  # a router of this program: to another command SIGHUP may mean its end
 
 
 @dataclass(slots=True, frozen=True)
@@ -83,7 +84,7 @@
     if not isinstance(environment, dict) or not all(isinstance(v, str) for v in environment.values()):
         raise OperatorError(f"{table.path}.env: must be a table of texts")
     table.end()
-    return Spec(name, tuple(command), tuple(environment.items()))
+    return Spec(name, tuple(command), tuple(environment.items()), bool(file))
 
 
 class Instance:
@@ -97,7 +98,7 @@
         self.wanted.set()
         self.changed = asyncio.Condition()
         self.hurry = asyncio.Event()
-        self.counters: asyncio.Future[Any] | None = None
+        self.asked: dict[str, asyncio.Future[Any]] = {}  # by the word that the answer's line begins with
 
     async def run(self) -> None:
         wait_s = self.plan.backoff_s
@@ -115,7 +116,7 @@
                 self.starts += 1
                 await self._now("running")
                 if not self.wanted.is_set():  # told to stop while it was being started
-                    self._signal(signal.SIGTERM)
+                    self.send(signal.SIGTERM)
                 await self._watch(self.process)
             if not self.wanted.is_set() or self.hurry.is_set():
                 self.hurry.clear()
@@ -137,8 +138,7 @@
     async def _watch(self, process: asyncio.subprocess.Process) -> None:
         assert process.stderr is not None
         while line := await process.stderr.readline():
-            if line.startswith(b'{"counters"') and self.counters is not None and not self.counters.done():
-                self.counters.set_result(json.loads(line)["counters"])
+            if line.startswith(b'{"') and self._told(line):
                 continue
             sys.stderr.write(f"[{self.spec.name}] {line.decode(errors='replace')}")
             sys.stderr.flush()
@@ -151,7 +151,7 @@
             self.state, self.since = state, time.time()
             self.changed.notify_all()
 
-    def _signal(self, number: signal.Signals) -> bool:
+    def send(self, number: signal.Signals) -> bool:
         if self.process is None or self.process.returncode is not None:
             return False
         self.process.send_signal(number)
@@ -166,14 +166,14 @@
 
     async def _end(self) -> None:
         process = self.process
-        if process is None or not self._signal(signal.SIGTERM):
+        if process is None or not self.send(signal.SIGTERM):
             return
         try:
             async with asyncio.timeout(self.plan.stop_s):
                 await process.wait()
         except TimeoutError:
             log.warning("%s: still there %.1f s after SIGTERM; killed", self.spec.name, self.plan.stop_s)
-            self._signal(signal.SIGKILL)
+            self.send(signal.SIGKILL)
             await process.wait()
 
     async def restart(self) -> None:
@@ -188,15 +188,33 @@
             await self.changed.wait_for(lambda: self.starts > starts or self.state == "waiting")
 
     async def count(self) -> Any:
-        self.counters = asyncio.get_running_loop().create_future()
-        if not self._signal(signal.SIGUSR1):
+        return await self._ask(signal.SIGUSR1, "counters")
+
+    async def reload(self) -> Any:
+        return await self._ask(signal.SIGHUP, "reload") if self.spec.reloads else None
+
+    async def _ask(self, number: signal.Signals, word: str) -> Any:
+        """Send the signal, and wait for the line that the program prints on it."""
+        answer = self.asked[word] = asyncio.get_running_loop().create_future()
+        if not self.send(number):
             return None
         try:
-            async with asyncio.timeout(COUNTERS_S):
-                return await self.counters
+            async with asyncio.timeout(ANSWER_S):
+                return await answer
         except TimeoutError:
             return None
 
+    def _told(self, line: bytes) -> bool:
+        try:
+            ((word, told),) = json.loads(line).items()
+        except ValueError:
+            return False
+        answer = self.asked.pop(word, None)
+        if answer is None or answer.done():
+            return False
+        answer.set_result(told)
+        return True
+
     def status(self) -> dict[str, Any]:
         return {
             "state": self.state, "pid": self.process.pid if self.process else None, "starts": self.starts,
@@ -214,6 +232,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.ended.set)
+        loop.add_signal_handler(signal.SIGHUP, self._hang_up)
         server = await asyncio.start_server(self._serve, *self.plan.listen, limit=LINE_BYTES)
         host, port = server.sockets[0].getsockname()[:2]
         log.info("agent listens on %s:%d, %d instances", host, port, len(self.instances))
@@ -226,6 +245,11 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _hang_up(self) -> None:
+        """What its instances read anew; the agent's own file is read at its start alone."""
+        readers = [i for i in self.instances.values() if i.spec.reloads and i.send(signal.SIGHUP)]
+        log.info("agent: SIGHUP passed on to %s", ", ".join(i.spec.name for i in readers) or "nobody")
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             async with asyncio.timeout(ASK_S):
@@ -253,9 +277,9 @@
                     self.ended.set()
             case "restart":
                 await asyncio.gather(*(instance.restart() for instance in chosen))
-            case "counters":
-                found = await asyncio.gather(*(instance.count() for instance in chosen))
-                return {"counters": dict(zip(names, found, strict=True))}
+            case "counters" | "reload":
+                asks = (i.count() if do == "counters" else i.reload() for i in chosen)
+                return {do: dict(zip(names, await asyncio.gather(*asks), strict=True))}
             case _:
                 return {"error": f"no command '{do}'"}
         return {"instances": {instance.spec.name: instance.status() for instance in chosen}}
--- a/maplestile/cli.py
+++ b/maplestile/cli.py
@@ -27,6 +27,7 @@
         ("status", "how the instances stand"),
         ("stop", "stop the named instances, or all of them and the agent"),
         ("restart", "restart the named instances, or all of them"),
+        ("reload", "have the named instances, or all of them, read their files again"),
         ("counters", "the counters of the named instances, or of all"),
     ):
         asked = commands.add_parser(name, help=text)
@@ -49,7 +50,8 @@
             case "serve":
                 from maplestile.__main__ import serve
 
-                return serve(load(asked.file))
+                load(asked.file)  # its mistakes are told without the log's dress
+                return serve(asked.file)
             case "check":
                 operator = load(asked.file)
                 print(f"{asked.file}: {len(operator.functions)} functions, {len(operator.tenants)} tenants")
@@ -89,9 +91,10 @@
     if "error" in reply:
         print(f"maplestile: {reply['error']}", file=sys.stderr)
         return 1
-    if asked.json or asked.command == "counters":
+    if asked.json or asked.command in ("counters", "reload"):
         print(json.dumps(reply, indent=2))
-        return 0
+        told = reply.get("reload", {}).values()
+        return int(any(answer is not None and not answer["ok"] for answer in told))
     for name, told in reply["instances"].items():
         pid = f"pid {told['pid']}" if told["pid"] else "no process"
         print(name, told["state"], pid, f"{told['starts']} starts", f"{told['for_s']} s", sep="\t", end="\t")
--- /dev/null
+++ b/maplestile/config.py
@@ -0,0 +1,68 @@
+"""The whole configuration of one function router: read and checked before anything of it is used."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, fields
+from typing import TYPE_CHECKING, Any
+
+from maplestile.fleet import Address, Fleet, FleetError
+from maplestile.interface import Settings
+from maplestile.limits import Limits
+from maplestile.settings import SettingsError, settings_from
+
+if TYPE_CHECKING:  # the platform's nodes do not load the second front
+    from maplestile.invoke.operator import Operator
+
+TOLD_BY_OPERATOR = ("tenants",)  # of the settings: the invoke front alone reads them
+
+
+class ConfigError(Exception):
+    """A configuration that cannot be used; the text names the field."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    settings: Settings
+    limits: Limits
+    listen: Address | None
+    dns: Address | None
+    fleet: Fleet
+    seed: int
+    operator: "Operator | None" = None
+
+    def restarts(self, new: "Config") -> list[str]:
+        """What the new one tells otherwise and only a restart can take: the module and the budgets are
+        built on it, or a listener stands there."""
+        names = [f.name for f in fields(Settings) if f.name not in TOLD_BY_OPERATOR]
+        changed = [f"settings.{n}" for n in names if getattr(self.settings, n) != getattr(new.settings, n)]
+        changed += [n for n in ("name", "listen", "limits") if getattr(self, n) != getattr(new, n)]
+        if self.operator is not None and new.operator is not None:
+            changed += ["invoke.listen"] * (self.operator.listen != new.operator.listen)
+        return changed
+
+
+def config_from(told: Mapping[str, Any], operator: "Operator | None" = None) -> Config:
+    try:
+        settings, limits, fleet = settings_from(told["settings"]), told.get("limits", {}), Fleet()
+        fleet.apply_known(told.get("known", {"updates": []}))
+        return Config(
+            name=str(told.get("name", "")),
+            settings=settings,
+            limits=Limits.of(settings, int(limits.get("sockets", 1024))),
+            listen=address(told["listen"]) if "listen" in told else None,
+            dns=address(told["dns"]) if "dns" in told else None,
+            fleet=fleet,
+            seed=int(str(told.get("seed", "0")), 16) & (1 << 63) - 1,
+            operator=operator,
+        )
+    except KeyError as missing:
+        raise ConfigError(f"lacks {missing}") from None
+    except (SettingsError, FleetError) as fault:
+        raise ConfigError(f"settings or known: {fault}") from None
+    except (ValueError, TypeError, AttributeError) as fault:
+        raise ConfigError(f"is not as told: {fault}") from None
+
+
+def address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
--- a/maplestile/fleet.py
+++ b/maplestile/fleet.py
@@ -54,6 +54,11 @@
             self._put(entry, address)
         return True
 
+    def replace(self, other: "Fleet") -> None:
+        """The list of another configuration; its number never falls, since the numbers go on."""
+        self.version = max(self.version, other.version)
+        self.entries, self.addresses = dict(other.entries), dict(other.addresses)
+
     def _put(self, entry: api.WorkerEntry, address: Address) -> None:
         if entry.state is api.WorkerState.GONE:
             self.entries.pop(entry.worker, None)
--- a/maplestile/invoke/api.py
+++ b/maplestile/invoke/api.py
@@ -5,7 +5,7 @@
 import secrets
 from collections import Counter
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from maplestile.core import Core, Outcome, Request
 from maplestile.invoke import problems
@@ -48,6 +48,20 @@
         self.store = Store(operator.records, operator.record_us, core.at, counters)
         self.in_hand: Counter[str] = Counter()
 
+    def reload(self, new: Operator) -> bool:
+        """Take what a new file tells of this front; true if that was something else than before.
+
+        Classes are the module's and the listener stands: both stay. A function of a class that only a
+        restart brings would run under no rule known, so then the functions stay, too."""
+        old = self.operator
+        same = (old.deadlines_us, old.keyed) == (new.deadlines_us, new.keyed)
+        self.operator = replace(
+            new, listen=old.listen, deadlines_us=old.deadlines_us, keyed=old.keyed, node=old.node,
+            functions=new.functions if same else old.functions,
+        )  # fmt: skip
+        self.store.most, self.store.keep_us = new.records, new.record_us
+        return self.operator != old
+
     def handle(self, request: HttpRequest, respond: Callable[[Response], None]) -> Callable[[], None]:
         """Answer through `respond`, once; what is returned is to be called if the client leaves first."""
         self.counters["invoke.requests"] += 1
--- a/maplestile/invoke/http.py
+++ b/maplestile/invoke/http.py
@@ -25,12 +25,14 @@
 
 
 class Http:
-    def __init__(
-        self, api: Api, operator: Operator, counters: Counter[str], received: Callable[[], int]
-    ) -> None:
-        self.api, self.operator, self.counters, self.received = api, operator, counters, received
+    def __init__(self, api: Api, counters: Counter[str], received: Callable[[], int]) -> None:
+        self.api, self.counters, self.received = api, counters, received
         self.connections = 0
 
+    @property
+    def operator(self) -> Operator:
+        return self.api.operator  # a reload may have put another one there
+
     async def start(self, host: str, port: int) -> asyncio.Server:
         return await asyncio.start_server(self._serve, host, port, limit=READ_BYTES, backlog=512)
 
--- a/maplestile/invoke/operator.py
+++ b/maplestile/invoke/operator.py
@@ -8,11 +8,13 @@
 from pathlib import Path
 from typing import Any
 
+from maplestile.config import ConfigError
+
 SEMANTICS = {"safe": "free", "keyed": "guarded", "unsafe": "single_shot"}
 SCOPES = ("all", "zone", "cell")
 
 
-class OperatorError(Exception):
+class OperatorError(ConfigError):
     """A file that cannot be used; the text names the field."""
 
 
--- a/maplestile/net/names.py
+++ b/maplestile/net/names.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import logging
-import random
+import secrets
 from collections import Counter
 from collections.abc import Callable
 
@@ -40,24 +40,33 @@
 class Names:
     def __init__(
         self, server: Address, fleet: Fleet, limits: Limits, counters: Counter[str],
-        changed: Callable[[], None], seed: int,
+        changed: Callable[[], None],
     ) -> None:  # fmt: skip
         self.server, self.fleet, self.limits, self.counters = server, fleet, limits, counters
         self.changed = changed
-        start = random.Random(seed).randrange(1 << 16)
+        start = secrets.randbelow(1 << 16)  # not to be guessed: a foreign reply must not fit
         self.ids = (n & 0xFFFF for n in itertools.count(start))
         self.socket = Socket(counters)
         self.transport: asyncio.DatagramTransport | None = None
 
     async def run(self) -> None:
+        """Poll until cancelled; the query socket goes with it."""
+        try:
+            await self._run()
+        finally:
+            if self.transport is not None:
+                self.transport.close()
+
+    async def _run(self) -> None:
         loop = asyncio.get_running_loop()
-        self.transport, _ = await loop.create_datagram_endpoint(
-            lambda: self.socket, remote_addr=self.server
-        )
         failures = 0
         while True:
             began = loop.time()
             try:
+                if self.transport is None:
+                    self.transport, _ = await loop.create_datagram_endpoint(
+                        lambda: self.socket, remote_addr=self.server
+                    )
                 await self._poll()
                 failures = 0
             except (dns.DnsError, TimeoutError, OSError) as fault:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -133,6 +133,7 @@
 
     def __init__(self, *arguments: str, **environment: str) -> None:
         self.log: list[str] = []
+        self.file = Path(arguments[-1] if arguments else "")
         env = {**os.environ, **environment, "PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
         self.process = subprocess.Popen(
             [sys.executable, "-m", "maplestile", *arguments],
@@ -164,6 +165,14 @@
         self.process.terminate()
         return self.process.wait(PATIENCE_S)
 
+    def reload(self, change: Callable[[str], str]) -> dict[str, Any]:
+        """Replace the configuration and send SIGHUP; what the program says of it."""
+        self.log.clear()
+        self.file.write_text(change(self.file.read_text()))
+        self.process.send_signal(signal.SIGHUP)
+        told: dict[str, Any] = json.loads(self.find(r'^(\{"reload".*)'))["reload"]
+        return told
+
     def kill(self) -> None:
         self.process.kill()
         self.process.wait()
@@ -236,4 +245,6 @@
               "limits": {"sockets": 256}, "dns": f"127.0.0.1:{names.port}", "settings": params()}  # fmt: skip
     file = Path(tempfile.mkdtemp()) / "config.json"
     file.write_text(json.dumps(config))
-    return Program(NODE_CONFIG=str(file))
+    program = Program(NODE_CONFIG=str(file))
+    program.file = file
+    return program
--- a/tests/test_process_invoke.py
+++ b/tests/test_process_invoke.py
@@ -129,3 +129,20 @@
         self.assertEqual(self.ask("GET", told["location"])[0], 410)
         self.assertEqual(self.ask("DELETE", told["location"])[0], 204)
         self.assertEqual(self.program.stop(), 0)
+
+    def test_reload_takes_functions_workers_and_limits_and_names_what_needs_a_restart(self) -> None:
+        self.assertEqual(self.post("new-cards", b"abc")[0], 404)
+        function = '[[function]]\nname = "new-cards"\nclass = "review"\nmemory_mb = 100\n'
+        worker = f'[[worker]]\nid = "w3"\naddress = "127.0.0.1:{self.workers[0].port}"\nkind = "quad-std"\n'
+        added = f"{function}{worker}[[kind]]"
+        told = self.program.reload(lambda text: text.replace("[[kind]]", added).replace("9.7", "9.6"))
+        self.assertEqual(told["taken"], ["known", "invoke"])
+        self.assertEqual(told["restart"], ["settings.keep_us"])
+        self.assertEqual(self.post("new-cards", b"abc")[:2], (200, b"cba"))
+        told = self.program.reload(lambda text: text.replace('"new-cards"', "5"))
+        self.assertIn("function[3].name", told["fault"])
+        self.assertEqual(self.post("new-cards", b"abc")[:2], (200, b"cba"))
+        told = self.program.reload(
+            lambda text: text.replace("name = 5", 'name = "f"').replace("bytes = 16384", "bytes = 2")
+        )
+        self.assertEqual((told["taken"], self.post("score-bangla", b"abc")[0]), (["invoke"], 413))
--- a/tests/test_process_platform.py
+++ b/tests/test_process_platform.py
@@ -71,6 +71,27 @@
             self.assertIn("result", self.client.read() or {})
         self.assertEqual((len(self.workers[0].ran), len(self.workers[1].ran)), (0, 12))
 
+    def test_sighup_takes_a_new_name_server_and_keeps_the_old_one_over_a_bad_file(self) -> None:
+        whole, other = self.program.file.read_text(), NameServer()
+        other.workers, other.serial = [("s-1", self.workers[1].port, 0)], 2
+        moved = whole.replace(f"127.0.0.1:{self.names.port}", f"127.0.0.1:{other.port}")
+        late = self.client.call("test-submit", b"hang:", limit_ms=2_000)
+        for bad in (moved[:-9], "[]", moved.replace("granularityUs", "odd"), moved.replace('"Ready"', "7")):
+            told = self.program.reload(lambda _, bad=bad: bad)  # type: ignore[misc]
+            self.assertEqual((told["ok"], told["taken"]), (False, []))
+        self.assertFalse(other.queries)
+        told = self.program.reload(lambda _: moved.replace('"attemptsCap": 5', '"attemptsCap": 4'))
+        self.assertEqual((told["taken"], told["restart"]), (["dns"], ["settings.max_attempts"]))
+        eventually(lambda: self.program.counters().get("names.lists"), "the list of the new name server")
+        before = self.names.queries
+        eventually(lambda: other.queries > 8, "two seconds of queries")
+        self.assertEqual(self.names.queries, before)
+        for n in range(8):
+            self.client.call("review", b"x", item=f"f{n}")
+        answers = [self.client.read() or {} for _ in range(9)]
+        self.assertEqual([a["id"] for a in answers if "error" in a], [late])  # what was open goes on
+        self.assertEqual(len([c for c in self.workers[0].ran if c["bytes"] == "eA=="]), 0)
+
     def test_sigterm_serves_what_comes_and_then_ends(self) -> None:
         self.program.process.send_signal(signal.SIGTERM)
         self.program.find("(asked to stop)")
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import io
+import re
 import signal
 import subprocess
 import sys
@@ -95,6 +96,8 @@
     def setUp(self) -> None:
         folder = Path(tempfile.mkdtemp())
         (folder / "stays.py").write_text(STAYS)
+        self.operator = folder / "operator.toml"
+        self.operator.write_text(re.sub(r"127.0.0.1:808\d", "127.0.0.1:0", TEXT))
         file = folder / "agent.toml"
         file.write_text(f"""[agent]
 listen = "127.0.0.1:0"
@@ -106,6 +109,9 @@
 [[instance]]
 name = "falls"
 command = ["{sys.executable}", "-c", "raise SystemExit(3)"]
+[[instance]]
+name = "router"
+file = "operator.toml"
 """)
         self.agent = Program("agent", str(file))
         self.addCleanup(self.agent.kill)
@@ -119,6 +125,12 @@
         self.assertEqual((stays["state"], stays["starts"]), ("running", 1))
         self.assertGreaterEqual(falls["starts"], 2)
         self.assertEqual(await ask(address, "counters", ["stays"]), {"counters": {"stays": {"n": 3}}})
+        self.agent.find(r"\[router\] (.*platform front listens)")
+        self.operator.write_text(self.operator.read_text().replace("shapla", "padma"))
+        reloaded = (await ask(address, "reload", ["router", "stays"]))["reload"]
+        self.assertEqual((reloaded["router"]["taken"], reloaded["stays"]), (["invoke"], None))
+        self.agent.process.send_signal(signal.SIGHUP)
+        self.agent.find(r"SIGHUP passed on to (router)$")
         again = await ask(address, "restart", ["stays"])
         self.assertEqual(again["instances"]["stays"]["starts"], 2)
         self.assertIn("error", await ask(address, "status", ["nobody"]))
