Condemn a runner connection at a spoilt or stopped line, and weigh its loss once

Logs: single lines that cannot be read (noise, JSON cut off), then "a line without an end" on the same runner. Cause: Runners._answer logged a bad line and kept the connection; nothing that came on it could be read any more, yet new sends went there and ran into their time-outs, and each time-out barred the worker (judge). Then _close ended all it carried as RESET, each one a full suspicion of a well worker, its copy counted as gone (on_ended, load_over(lost)) and its home moved. Ruled out: the name queries (lists kept coming) and CPU (0.09 of a core).

Now a line that cannot be read, is too long or does not go on within 250 ms condemns the connection. What was not handed whole to the system goes by another connection; a tag that was turned away does not go again by the same one (a second copy of the refusal would pass for its answer); a connection silent while a request was given up carries nothing new. A broken connection is one light symptom and moves neither home nor copies.

--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -12,7 +12,7 @@
 from maplestile.state import CACHING, MULTIPLE, NOWHERE, SINGLE, Attempt, Call, Copy, Row, Window, Worker
 
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)  # the wire's proofs
-BAD = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)  # symptoms of an unwell worker
+BAD = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED)  # symptoms of an unwell worker
 ANSWER_TICKS, ANSWER_US = 2, 120_000  # before the budget's end, at which the last answer goes out: a busy
 # process acts late, and an answer past the deadline is a lost call
 PAUSE_US = 16_000  # the least such wait, whatever the tick: polling must not eat the processor
@@ -31,6 +31,7 @@
 SINGLE_ROWS = 4  # single-list rows for each caching row, so that a second call still meets its first
 SILENT_SERVICES = 3.0  # expected times without any answer after which a worker counts as silent
 SICK_STEP, SICK_AT = 0.5, 0.45  # suspicion that a bad outcome adds in its group; from which a worker is left
+SICK_RESET, RESET_TICKS = 0.2, 2  # the same for a broken connection; ticks in which its ends count as one
 SICK_KEEPS = 0.7  # keep-alives in which a suspicion halves without news; then calls try the worker again
 SLOW_MOVES = 2.0  # times the expected service time from which an answer sends the home elsewhere
 RETRY_SHARE, RETRY_BURST = 0.3, 20.0  # further attempts that a call earns, against storms; most saved
@@ -337,8 +338,8 @@
         if event.result is Result.OK: self.learn(call, attempt, event)
         elif event.result is Result.MISS or event.warmth is Warmth.LOAD_FAILED:
             self.on_miss(row, attempt, event)
-        elif event.result in (Result.CONNECT_FAILED, Result.RESET) or not copy.ordered:
-            self.load_over(row, worker, lost=event.result in (Result.CONNECT_FAILED, Result.RESET))
+        elif event.result is Result.CONNECT_FAILED or not copy.ordered:
+            self.load_over(row, worker, lost=event.result is Result.CONNECT_FAILED)
         if event.call_ended: self.close(call)
         elif call.open and not call.outstanding(): self.again(call, event.result)
         self.wake(row)
@@ -395,7 +396,7 @@
         """No answer in several expected times, perhaps to anybody: it hangs or is slow; move the call."""
         if attempt.result is not None or not call.open or call.streaming: return
         silent = attempt.worker.heard_us.get(call.group, 0) <= attempt.sent_us
-        if silent: self.suspect(call, attempt.worker)
+        if silent: self.suspect(call, attempt.worker, SICK_STEP)
         if self.retries < 1.0 or call.kind.effect is Effect.UNSAFE: return
         if self.set.may_duplicate and len(call.outstanding()) < 2:
             self.retries -= 1.0
@@ -433,16 +434,21 @@
             worker.full_us[call.group] = self.now + int(pauses * call.row.service_us)
             call.row.home = ""
         elif event.result in BAD and event.warmth is not Warmth.LOAD_FAILED:
-            self.suspect(call, worker)
+            self.suspect(call, worker, SICK_STEP)
+        elif event.result is Result.RESET and self.now >= worker.reset_us + RESET_TICKS * self.set.tick_us:
+            # One broken connection is one symptom, whatever it carried, and as likely the network's; its
+            # copies stand. Where the worker has gone, the next connect fails.
+            worker.reset_us = self.now
+            self.suspect(call, worker, SICK_RESET)
         elif event.result is Result.OK:
             worker.heard_us[call.group] = self.now
             for told in (worker.fulls, worker.sick): told.pop(call.group, None)
             worker.sick.pop("", None)
 
-    def suspect(self, call: Call, worker: Worker) -> None:
-        for group, step in ((call.group, SICK_STEP), ("", SICK_STEP / 2)):
-            worker.sick[group] = (step + (1 - step) * self.suspicion(worker, group), self.now)
-        if call.row.home == worker.entry.worker: call.row.home = ""
+    def suspect(self, call: Call, worker: Worker, step: float) -> None:
+        for group, part in ((call.group, step), ("", step / 2)):
+            worker.sick[group] = (part + (1 - part) * self.suspicion(worker, group), self.now)
+        if call.row.home == worker.entry.worker and not self.well(call, worker): call.row.home = ""
 
     def suspicion(self, worker: Worker, group: str) -> float:
         value, since_us = worker.sick.get(group, (0.0, 0))
--- a/maplestile/limits.py
+++ b/maplestile/limits.py
@@ -24,6 +24,10 @@
     runner_streams: int = 32
     runner_queue: int = 4096
     runner_line_bytes: int = 64 * 1024
+    # Between two pieces of one answer: a tenth of the shortest aims, and far over a pause on the way.
+    runner_line_us: int = 250_000
+    # Without a sign for so long, while a request was given up there, a connection may lead nowhere.
+    runner_silent_us: int = 500_000
     connect_timeout_us: int = 250_000
     runner_idle_us: int = 12_000_000
     order_timeout_us: int = 10_000_000
--- a/maplestile/net/runners.py
+++ b/maplestile/net/runners.py
@@ -1,7 +1,8 @@
 """The runner pool: connections by uid, requests spread over their streams, answers handed to the core.
 
 A send may wait for its connection or behind a full socket buffer. So what a rule asks of a send is checked
-where it is written, not where it was decided."""
+where it is written, not where it was decided. A line that cannot be read condemns its connection: where the
+next answer begins, and whose it is, cannot be known any more."""
 
 import asyncio
 import logging
@@ -10,12 +11,14 @@
 from dataclasses import dataclass, field
 
 from maplestile.core import AttemptId, Core, Request
+from maplestile.decide import NEVER_RAN
 from maplestile.fleet import Address, Fleet
 from maplestile.interface import Result, WorkerState
 from maplestile.limits import Limits
 from maplestile.wire import runner as wire
 
 log = logging.getLogger(__name__)
+TURNED = 64  # tags that a connection remembers as turned away
 
 
 @dataclass(slots=True)
@@ -28,6 +31,7 @@
     tag: str = ""
     order: int = 0
     probe: bool = False
+    written_us: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -39,7 +43,10 @@
     queue: deque[Message] = field(default_factory=deque)
     open: dict[str, AttemptId] = field(default_factory=dict)
     errands: dict[str, tuple[int, bool]] = field(default_factory=dict)  # tag to number, and whether a probe
-    full: bool = False
+    turned: deque[str] = field(default_factory=lambda: deque(maxlen=TURNED))
+    partial: Message | None = None  # the last one written, while not all of it is with the system
+    heard_us: int = 0
+    doubtful: bool = False  # silent for longer than its requests could wait: carries nothing new until heard
     closed: bool = False
     task: asyncio.Task[None] | None = None
 
@@ -109,6 +116,10 @@
         if connection.open.get(message.tag) != attempt:
             return
         del connection.open[message.tag]
+        silent_us = self.clock() - message.written_us
+        if connection.heard_us < message.written_us and silent_us > self.limits.runner_silent_us:
+            # A machine that is cut off gives no sign; a new connection to it would not come up.
+            connection.doubtful = True
         self._write(connection, Message(wire.cancel(message.tag), False))
 
     def order(self, tag: int, worker: str, function: str, copies: int) -> None:
@@ -139,6 +150,8 @@
         """Close what lies idle before the runner does: a send that meets its close would be lost."""
         now = self.clock()
         for runner in list(self.runners.values()):
+            for connection in [c for c in runner.connections if c.doubtful and not c.streams()]:
+                self._close(connection, Result.RESET)
             self._close_unused(runner, now - self.limits.runner_idle_us if runner.listed else None)
             if not runner.listed and not runner.connections:
                 self.runners.pop(runner.uid, None)
@@ -165,9 +178,12 @@
         return True
 
     def _connection(self, runner: Runner, tag: str) -> Connection | None:
+        # A second copy of the answer that turned a tag away would pass for the answer to its next try.
+        most = self.limits.runner_streams
         free = [
-            c for c in runner.connections if c.streams() < self.limits.runner_streams and tag not in c.open
-        ]
+            c for c in runner.connections
+            if c.streams() < most and not c.doubtful and tag not in c.open and tag not in c.turned
+        ]  # fmt: skip
         if free:  # the fullest first, so that the others can fall idle and be closed
             return max(free, key=lambda c: (c.writer is not None, len(c.open)))
         if self.connections >= self.limits.runner_connections:  # the descriptors are budgeted
@@ -191,20 +207,31 @@
             writer.transport.set_write_buffer_limits(high=0)
             self._flush(connection)
             lines = wire.Lines(self.limits.runner_line_bytes)
-            while data := await reader.read(self.limits.read_bytes):
-                connection.used_us = self.clock()
+            while data := await self._read(reader, lines):
+                connection.used_us = connection.heard_us = self.clock()
+                connection.doubtful = False
                 for line in lines.feed(data):
-                    self._answer(connection, line)
+                    self._answer(connection, wire.parse(line))
                     self.core.catch_up()
                 self._flush(connection)
         except wire.LineError as fault:
             self.counters["runners.malformed"] += 1
-            log.warning("runner %s: %s", connection.runner.uid, fault)
+            log.warning("runner %s: %s; connection condemned", connection.runner.uid, fault)
         except (OSError, TimeoutError) as fault:
             log.debug("runner %s: %r", connection.runner.uid, fault)
         finally:
             self._close(connection, end)
 
+    async def _read(self, reader: asyncio.StreamReader, lines: wire.Lines) -> bytes:
+        if not lines.rest:
+            return await reader.read(self.limits.read_bytes)
+        # A line that was begun comes soon, or never: its writer stopped short, and all behind it waits.
+        try:
+            async with asyncio.timeout(self.limits.runner_line_us / 1e6):
+                return await reader.read(self.limits.read_bytes)
+        except TimeoutError:
+            raise wire.LineError("a line that does not go on") from None
+
     def _write(self, connection: Connection, message: Message) -> None:
         connection.queue.append(message)
         self._flush(connection)
@@ -212,7 +239,7 @@
     def _flush(self, connection: Connection) -> None:
         """Write what the socket takes; what may no longer be sent ends here, unwritten."""
         writer = connection.writer
-        if writer is None or connection.closed or connection.full:
+        if writer is None or connection.closed or connection.partial is not None:
             return
         while connection.queue:
             message = connection.queue.popleft()
@@ -226,9 +253,9 @@
             elif message.tag:
                 connection.errands[message.tag] = (message.order, message.probe)
             writer.write(message.line)
-            connection.used_us = self.clock()
+            connection.used_us = message.written_us = self.clock()
             if writer.transport.get_write_buffer_size():
-                connection.full = True
+                connection.partial = message
                 asyncio.get_running_loop().create_task(self._drained(connection, writer))
                 return
 
@@ -237,7 +264,7 @@
             await writer.drain()
         except OSError:
             return  # the reader sees the same end and closes
-        connection.full = False
+        connection.partial = None
         self._flush(connection)
 
     def _unsent(self, message: Message, result: Result) -> None:
@@ -249,17 +276,13 @@
         elif message.order:
             self.core.order_ended(message.order, Result.FULL if result is Result.MOOT else result)
 
-    def _answer(self, connection: Connection, line: memoryview) -> None:
-        try:
-            answer = wire.parse(line)
-        except wire.LineError as fault:
-            self.counters["runners.malformed"] += 1
-            log.warning("runner %s: an answer that cannot be used: %s", connection.runner.uid, fault)
-            return
+    def _answer(self, connection: Connection, answer: wire.Answer) -> None:
         attempt = connection.open.pop(answer.call, None)
         errand = connection.errands.pop(answer.call, None)
         if attempt is not None:
             self.where.pop(attempt, None)
+            if answer.result in NEVER_RAN:
+                connection.turned.append(answer.call)
             self.core.attempt_ended(attempt, answer.result, answer.body, answer.alike, answer.report)
         elif errand is None:
             self.counters["runners.late"] += 1
@@ -269,23 +292,36 @@
             self.core.order_ended(errand[0], answer.result, answer.copies)
 
     def _close(self, connection: Connection, result: Result) -> None:
-        """Close, and tell the core of all that was open: `result` if written, else it never ran."""
+        """Close, and tell the core of all that was open: `result` if written whole, else it never ran."""
         if connection.closed:
             return
         connection.closed = True
         connection.runner.connections.remove(connection)
         self.connections -= 1
+        unsent, connection.queue = connection.queue, deque()
         if connection.writer is not None:
+            # What the transport still holds has not reached the runner whole. Once the transport has failed
+            # it tells nothing any more: then the last message counts as written.
+            if connection.partial is not None and connection.writer.transport.get_write_buffer_size():
+                unsent.appendleft(connection.partial)
+                connection.open.pop(connection.partial.tag, None)
+                connection.errands.pop(connection.partial.tag, None)
             connection.writer.transport.abort()
         if connection.task is not None and connection.task is not asyncio.current_task():
             connection.task.cancel()
         written, connection.open = connection.open, {}
         errands, connection.errands = connection.errands, {}
-        unsent, connection.queue = connection.queue, deque()
         for attempt in written.values():
             self.where.pop(attempt, None)
             self.core.attempt_ended(attempt, result)
         for number, probe in errands.values():
             (self.core.probe_ended if probe else self.core.order_ended)(number, result)
         for message in unsent:
-            self._unsent(message, Result.CONNECT_FAILED)
+            # A connection that came up and broke says nothing of the runner: the rest goes by another.
+            if connection.writer is None or not self._again(connection.runner, message):
+                self._unsent(message, Result.CONNECT_FAILED)
+
+    def _again(self, runner: Runner, message: Message) -> bool:
+        if message.attempt is not None and message.attempt not in self.where:
+            return True  # called off meanwhile
+        return self.runners.get(runner.uid) is runner and self._put(runner.uid, message)
--- a/maplestile/state.py
+++ b/maplestile/state.py
@@ -49,6 +49,7 @@
     sends: Window
     salt: int
     busy: int = 0
+    reset_us: int = 0
     copies: dict[str, Copy] = field(default_factory=dict)
     sick: dict[str, tuple[float, int]] = field(default_factory=dict)
     heard_us: dict[str, int] = field(default_factory=dict)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -30,7 +30,7 @@
 
 
 class Worker:
-    """Runs what the body says: echo it backwards, fail, hang, or die. `ran` lists what it took up."""
+    """Runs what the body says: echo it backwards, fail, hang, die, send raw bytes. `ran` lists the calls."""
 
     def __init__(self) -> None:
         self.listener = socket.create_server(("127.0.0.1", 0))
@@ -38,6 +38,8 @@
         self.ran: list[dict[str, Any]] = []
         self.lines: list[dict[str, Any]] = []
         self.open: list[socket.socket] = []
+        self.pause = threading.Event()  # cleared, the worker reads nothing
+        self.pause.set()
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self) -> None:
@@ -52,15 +54,20 @@
     def _serve(self, peer: socket.socket) -> None:
         try:
             for line in peer.makefile("rb"):
+                self.pause.wait()
+                if not line.endswith(b"\n"):
+                    return  # cut off
                 told = json.loads(line)
                 self.lines.append(told)
                 answer = self._answer(told)
-                if answer is not None:
+                if isinstance(answer, bytes):
+                    peer.sendall(answer)
+                elif answer is not None:
                     peer.sendall(json.dumps(answer | {"call": told["call"]}).encode() + b"\n")
         except OSError:
             return
 
-    def _answer(self, told: dict[str, Any]) -> dict[str, Any] | None:
+    def _answer(self, told: dict[str, Any]) -> dict[str, Any] | bytes | None:
         if told["kind"] == "LOAD":
             return {"kind": "200", "head": {"units": str(max(1, told["head"]["units"]))}}
         if told["kind"] != "CALL":
@@ -70,6 +77,8 @@
         if word == b"full":
             return {"kind": "503"}
         self.ran.append(told)
+        if word == b"raw":
+            return body[4:].replace(b"TAG", told["call"].encode())
         if word == b"die":
             self.die()
         if word in (b"die", b"hang"):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -195,6 +195,22 @@
     assert hits <= 4
 
 
+def test_broken_connection_moves_no_home_and_counts_once_for_all_it_carried() -> None:
+    d = Driver(settings(), WORKERS)
+    home = served(d, 1, "f")
+    for call in (2, 3):
+        assert sends(d.give(arrival(call, "f", "unsafe")))[0].worker == home
+    for call in (2, 3):
+        assert finals(d.give(ended(call, 0, home, api.Result.RESET))) == [api.Fail(call)]
+    assert sends(d.give(arrival(4, "f")))[0].worker == home  # its copy stands, and it is not suspected
+    d.give(ended(4, 0, home, api.Result.OK))
+    for call in (5, 6, 7):  # a worker whose connections break again and again is left all the same
+        for send in sends(d.give(arrival(call, "f", "unsafe"))):
+            d.give(ended(call, 0, send.worker, api.Result.RESET))
+        d.now += 10 * MS
+    assert all(send.worker != home for send in sends(d.give(arrival(8, "f", "unsafe"))))
+
+
 def test_cold_worker_gets_some_and_never_too_much_from_all_dispatchers_together() -> None:
     """Rule 4 summed over 300 seeds: one cold worker among 20, steady traffic at two thirds of capacity."""
     told, cores, sent = settings(dispatchers=300), 2.0, list[int]()
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -30,7 +30,9 @@
 class PoolTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.now, self.ends, self.worker, self.fleet = 1_000_000, Ends(), Worker(), Fleet()
-        self.pool = Runners(Limits(runner_streams=2, runner_idle_us=5_000_000), lambda: self.now, Counter())
+        self.counters = Counter[str]()
+        limits = Limits(runner_streams=2, runner_idle_us=5_000_000, runner_line_us=20_000)
+        self.pool = Runners(limits, lambda: self.now, self.counters)
         self.pool.core = cast(Core, self.ends)
         self.list()
 
@@ -100,6 +102,65 @@
         self.assertEqual(self.ends.ended[1, 0], Result.RESET)
 
 
+    async def test_line_that_cannot_be_read_condemns_its_connection_and_all_that_is_open_there(self) -> None:
+        long = b"x" * 70_000
+        for n, spoilt in enumerate((b"\x99\xce\n", b'{"call":"TAG"}\n', b"5\n", b'{"kind":"200', long)):
+            self.send(2 * n, b"hang:")
+            self.send(2 * n + 1, b"raw:" + spoilt)  # on the same connection; the last two have no end
+            await self.until(2 * n, 2 * n + 1)
+            ends = self.ends.ended[2 * n, 0], self.ends.ended[2 * n + 1, 0]
+            self.assertEqual(ends, (Result.RESET, Result.RESET))
+            self.assertEqual(self.pool.connections, 0)
+        self.assertEqual(self.counters["runners.malformed"], 5)
+
+    async def test_second_copies_and_unknown_ids_are_dropped_and_the_connection_goes_on(self) -> None:
+        good = b'{"kind":"200","call":"TAG"}\n'
+        self.send(1, b"raw:" + good.replace(b"TAG", b"nobody") + 2 * good)
+        await self.until(1)
+        self.send(2, b"abc")
+        await self.until(2)
+        self.assertEqual((self.ends.ended[1, 0], self.ends.ended[2, 0]), (Result.OK, Result.OK))
+        self.assertEqual((self.counters["runners.late"], self.pool.connections), (2, 1))
+
+    async def test_try_after_a_full_answer_does_not_take_the_second_copy_of_that_for_its_own(self) -> None:
+        self.send(1, b"full:")
+        await self.until(1)
+        self.pool.send((1, 1), "s-0", Request("t1", "f", "review", 5_000_000, body=b"abc"), 5_000_000)
+        async with asyncio.timeout(20):
+            while (1, 1) not in self.ends.ended:
+                await asyncio.sleep(0.005)
+        self.assertEqual(self.pool.connections, 2)
+
+    async def test_what_was_not_written_whole_goes_by_another_connection_when_one_breaks(self) -> None:
+        self.send(1, b"hang:")
+        async with asyncio.timeout(20):
+            while not self.worker.ran:
+                await asyncio.sleep(0.005)
+        (connection,) = self.pool.runners["s-0"].connections
+        self.worker.pause.clear()  # reads nothing, so what comes stays in the buffers
+        big = Request("t2", "f", "review", 5_000_000, body=b"error:" + bytes(30_000_000))
+        self.pool.send((2, 0), "s-0", big, 5_000_000)
+        self.assertIsNotNone(connection.partial)
+        self.worker.pause.set()
+        self.pool._close(connection, Result.RESET)
+        self.assertEqual(self.ends.ended, {(1, 0): Result.RESET})
+        await self.until(2)
+        self.assertEqual((self.ends.ended[2, 0], len(self.worker.ran)), (Result.ERROR, 2))
+
+    async def test_silent_connection_carries_nothing_new_until_it_is_heard(self) -> None:
+        self.send(1, b"hang:")
+        async with asyncio.timeout(20):
+            while not self.worker.ran:
+                await asyncio.sleep(0.005)
+        self.now += 600_000
+        self.pool.cancel((1, 0))
+        self.send(2, b"abc")
+        await self.until(2)
+        self.assertEqual(self.pool.connections, 2)
+        self.pool.sweep()
+        self.assertEqual(self.pool.connections, 1)  # the silent one carries nothing any more
+
+
 class StampTest(unittest.TestCase):
     def test_what_a_select_finds_without_waiting_may_be_as_old_as_the_select_before(self) -> None:
         times = iter([100, 100, 200, 900, 1_500])
