Make room at the client cap, bound what a client may leave half said, check names

Clients that ask once and stay held all 85 places (a third of 256), and every new connection was aborted, with what had been written to it. Ruled out: runner resets and drains (the losses fall on no such event), and CPU (0.2 of a core).

The cap is now what descriptors leave over (128 of 256). At the cap the one idle longest with nothing owed is closed, those that never asked first. A connection without a whole message within 1.5 s is closed. Turns of 16 messages, 64 useless messages at most, unread answers and open requests bounded in bytes, warnings of one kind bounded. Accepts come 16 at a time, since each takes a descriptor before it is looked at. Tenants, txn, item and unique are checked before a runner sees them. Found on the way: a listener made without naming its protocol leaves Nagle's algorithm on in asyncio; the p99 from answer to client rose from 0.5 to 19 ms until it was named. There is a test for it.

--- a/maplestile/__main__.py
+++ b/maplestile/__main__.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from maplestile import logs
 from maplestile.config import Config, ConfigError, address, config_from
 from maplestile.core import Core
 from maplestile.interface import ListKind
@@ -211,7 +212,7 @@
 
 def _run(configure: Callable[[], Config]) -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until its handler stands; the default ends the program
-    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s", stream=sys.stderr)
+    logs.start()
     try:
         selector = StampedSelector(clock)
         loop: asyncio.AbstractEventLoop = asyncio.SelectorEventLoop(selector)
--- a/maplestile/cli.py
+++ b/maplestile/cli.py
@@ -3,12 +3,11 @@
 import argparse
 import asyncio
 import json
-import logging
 import sys
 from collections.abc import Sequence
 from pathlib import Path
 
-from maplestile import agent, traces
+from maplestile import agent, logs, traces
 from maplestile.invoke.operator import OperatorError, load
 
 DEFAULT_AGENT = "127.0.0.1:7070"
@@ -70,7 +69,7 @@
 
 
 def _agent(file: Path) -> int:
-    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s", stream=sys.stderr)
+    logs.start()
     plan = agent.load(file)
 
     try:
--- a/maplestile/core.py
+++ b/maplestile/core.py
@@ -19,6 +19,7 @@
 log = logging.getLogger(__name__)
 AttemptId = tuple[int, int]
 Report = tuple[tuple[str, float], ...]
+RECORD_BYTES, BODY_COPIES = 4096, 3
 
 
 class Verdict(Enum):
@@ -44,6 +45,10 @@
     key: str = ""
     body: bytes = b""
 
+    def bytes(self) -> int:
+        """About what it takes while it is open: records, timers, the body, and its copy on the way out."""
+        return RECORD_BYTES + BODY_COPIES * len(self.body)
+
 
 @dataclass(slots=True)
 class Outcome:
@@ -108,6 +113,7 @@
     timers: dict[int, list[Callable[[], object]]] = field(default_factory=dict)  # by the tick when due
     ticks: list[int] = field(default_factory=list)
     number: int = 0
+    open_bytes: int = 0
     armed: int = 0
     acting: bool = False
 
@@ -124,8 +130,10 @@
         # The client's time runs from the last byte, not from when a busy loop got to it.
         due_us = received_us + request.budget_us
         self.open[call] = Open(request, due_us, answer)
+        self.open_bytes += request.bytes()
+        full = len(self.open) > self.limits.open_requests or self.open_bytes > self.limits.open_bytes
         # Guards memory against a flood, and the requests in hand against a loop that lags ever more.
-        if len(self.open) > self.limits.open_requests or now - received_us > self.limits.lag_most_us:
+        if full or now - received_us > self.limits.lag_most_us:
             self.counters["requests.shed"] += 1
             self._finish(call, Outcome(Verdict.REFUSED, retry_after_us=self.limits.max_retry_after_us))
             return call
@@ -140,7 +148,8 @@
 
     def withdraw(self, call: int) -> None:
         """The client waits no longer: nothing is owed, and what is out is called off by the module."""
-        if self.open.pop(call, None) is not None:
+        if (owed := self.open.pop(call, None)) is not None:
+            self.open_bytes -= owed.request.bytes()
             self.counters["requests.withdrawn"] += 1
             self.give(api.CallExpired(call))
 
@@ -315,5 +324,6 @@
         """The one way to a final answer; a second one for the same call goes nowhere."""
         owed = self.open.pop(call, None)
         if owed is not None:
+            self.open_bytes -= owed.request.bytes()
             self.counters[f"answers.{outcome.verdict.value}"] += 1
             owed.answer(outcome)
--- a/maplestile/limits.py
+++ b/maplestile/limits.py
@@ -5,25 +5,36 @@
 from maplestile.interface import Settings
 
 IDLE_MARGIN = 0.8  # of the runner's idle time: the router closes first, so that no send meets a close
-CLIENT_PART = 3  # one descriptor in so many may be a client's
+RESERVE = 32  # descriptors for listeners, log, name server, interpreter, and a burst of accepts
+BASE_MB = 20  # what the program takes before it has served anything
+KB = 1024
 
 
 @dataclass(slots=True, frozen=True)
 class Limits:
     # Clients.
-    client_connections: int = 341
+    client_connections: int = 512
     client_streams: int = 32
-    client_write_bytes: int = 1 << 20
+    # For a whole message, from the connect or from its first byte: half of what a client waits for a word.
+    client_message_us: int = 1_500_000
+    client_faults: int = 64  # messages that cannot be used, on one connection: its client will not learn
+    client_turn: int = 16  # messages of one connection before the others have their turn: 2 to 3 ms
+    client_write_bytes: int = 1 << 20  # unread answers of one client, about twice what 32 streams can owe
+    all_write_bytes: int = 16 << 20  # and of all clients together
+    accept_burst: int = 16  # connections accepted in one go; each takes a descriptor before it is looked at
+    accept_queue: int = 1024  # connections that wait in the system to be accepted
     open_requests: int = 20_000
+    open_bytes: int = 64 << 20  # of open requests: bodies, the copies of them on their way, and records
     lag_most_us: int = 60_000
-    body_bytes: int = 16 * 1024
-    head_bytes: int = 1024
-    message_bytes: int = 32 * 1024
+    wait_most_us: int = 600_000_000  # a client's own limit beyond this is a mistake
+    body_bytes: int = 16 * KB
+    head_bytes: int = 1 * KB
+    message_bytes: int = 32 * KB
     # Runners.
     runner_connections: int = 480
     runner_streams: int = 32
     runner_queue: int = 4096
-    runner_line_bytes: int = 64 * 1024
+    runner_line_bytes: int = 64 * KB
     # Between two pieces of one answer: a tenth of the shortest aims, and far over a pause on the way.
     runner_line_us: int = 250_000
     # Without a sign for so long, while a request was given up there, a connection may lead nowhere.
@@ -37,17 +48,24 @@
     names_timeout_us: int = 150_000
     # The end: connections still come for 0.4 s after SIGTERM, requests on open ones for 0.2 s more.
     drain_least_us: int = 900_000
-    read_bytes: int = 64 * 1024
+    # A stream holds twice what is read at once, and what its socket held: for a client under 100 KB.
+    read_bytes: int = 64 * KB
+    client_read_bytes: int = 16 * KB
+    client_socket_bytes: int = 64 * KB
     max_retry_after_us: int = 1_000_000
 
     @classmethod
-    def of(cls, settings: Settings, descriptors: int = 1024) -> "Limits":
+    def of(cls, settings: Settings, descriptors: int = 1024, memory_mb: float = 192) -> "Limits":
         default = cls()
+        # Runners are few, with a handful of connections each; clients hold a third, and come and go.
+        runners = max(1, descriptors // 2 - RESERVE)
+        spare = int(max(8, memory_mb - BASE_MB)) << 20
         return cls(
-            client_connections=max(1, descriptors // CLIENT_PART),
-            # A part is left over for the listener, the log, the name server and the interpreter.
-            runner_connections=max(1, descriptors // 2 - 32),
+            client_connections=max(1, descriptors - runners - RESERVE),
+            runner_connections=runners,
             open_requests=settings.max_open or default.open_requests,
+            open_bytes=min(default.open_bytes, spare // 3),
+            all_write_bytes=min(default.all_write_bytes, spare // 8),
             runner_streams=settings.streams_per_connection,
             connect_timeout_us=settings.connect_timeout_us or default.connect_timeout_us,
             runner_idle_us=int(IDLE_MARGIN * settings.idle_close_us) or default.runner_idle_us,
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import socket
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -16,6 +17,9 @@
 @dataclass(slots=True, eq=False)
 class Client:
     writer: asyncio.StreamWriter
+    since_us: int  # of the connect, or of the first byte of the message that is not whole yet
+    greeted: bool = False  # a whole message has come
+    faults: int = 0
     calls: dict[int, int] = field(default_factory=dict)  # the ids open on this connection, to the core's
     tags: dict[str, int] = field(default_factory=dict)
     idle: asyncio.Event = field(default_factory=asyncio.Event)
@@ -28,52 +32,108 @@
     ) -> None:  # fmt: skip
         self.core, self.limits, self.counters = core, limits, counters
         self.received, self.ready = received, ready
-        self.classes = frozenset(kind.name for kind in core.settings.classes)
-        self.clients: set[Client] = set()
+        self.known = wire.Known.of(core.settings)
+        self.clients: dict[Client, None] = {}  # the one that was silent longest first
 
     async def start(self, host: str, port: int) -> asyncio.Server:
-        return await asyncio.start_server(
-            self._serve, host, port, limit=self.limits.read_bytes, backlog=512, reuse_address=True
+        found = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE)
+        family, kind, protocol, _, local = found[0]
+        # The protocol is named: without it asyncio leaves Nagle's algorithm on, and answers wait for 40 ms.
+        listener = socket.socket(family, kind, protocol)
+        listener.setblocking(False)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Connections inherit it: what a flooding client has in flight stays with the system.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.limits.client_socket_bytes)
+        listener.bind(local)
+        limits = self.limits
+        server = await asyncio.start_server(
+            self._serve, sock=listener, limit=limits.client_read_bytes, backlog=limits.accept_burst
         )
+        # asyncio accepts as many in one go as may wait; only what it accepts at once needs the small number.
+        listener.listen(limits.accept_queue)
+        return server
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if len(self.clients) >= self.limits.client_connections:  # the descriptors are budgeted
+        if len(self.clients) >= self.limits.client_connections and not self._make_room():
             self.counters["clients.turned_away"] += 1
+            log.warning("client: turned away, %d connections are owed an answer", len(self.clients))
             writer.transport.abort()
             return
-        client = Client(writer)
-        self.clients.add(client)
+        client = Client(writer, self.core.clock())
+        self.clients[client] = None
         self.counters["clients.connections"] += 1
-        framer = wire.Framer(self.limits)
         try:
-            while data := await reader.read(self.limits.read_bytes):
-                received_us = self.received()
-                for view in framer.feed(data):
-                    self._message(client, view, received_us)
-                    self.core.catch_up()
+            await self._read_all(client, reader)
             # A client that only ends its own side still waits for what it asked.
-            while client.calls and not writer.is_closing():
-                client.idle.clear()
-                await client.idle.wait()
+            await self._all_answered(client)
         except wire.FramingError as fault:
             self.counters["clients.malformed"] += 1
             log.warning("client: %s; connection closed", fault)
             self._write(client, wire.error(None, wire.PARSE_ERROR, str(fault)))
-            while client.calls and not writer.is_closing():  # what was taken before is still owed
-                client.idle.clear()
-                await client.idle.wait()
+            await self._all_answered(client)  # what was taken before is still owed
         except OSError as fault:
             log.debug("client: %r", fault)
         finally:
-            self.clients.discard(client)
+            self.clients.pop(client, None)
             for call in list(client.calls.values()):
                 self.core.withdraw(call)
             client.calls.clear()
             writer.close()
 
+    async def _read_all(self, client: Client, reader: asyncio.StreamReader) -> None:
+        framer = wire.Framer(self.limits)
+        while data := await self._read(client, reader, framer):
+            received_us, whole = self.received(), 0
+            for whole, view in enumerate(framer.feed(data), 1):
+                client.greeted = True
+                self._message(client, view, received_us)
+                self.core.catch_up()
+                if whole % self.limits.client_turn == 0:  # a flood must not keep the others waiting
+                    await asyncio.sleep(0)
+                    if client.writer.is_closing():
+                        return
+            if whole:
+                client.since_us = received_us
+                self._stirred(client)
+
+    async def _read(self, client: Client, reader: asyncio.StreamReader, framer: wire.Framer) -> bytes:
+        if client.greeted and not framer.rest:  # it may stay for good, and ask again or not
+            data = await reader.read(self.limits.client_read_bytes)
+            client.since_us = self.core.clock()
+            return data
+        # Guards the descriptors against connections that say nothing, or half a message, for ever.
+        left_us = client.since_us + self.limits.client_message_us - self.core.clock()
+        try:
+            async with asyncio.timeout(left_us / 1e6):
+                return await reader.read(self.limits.client_read_bytes)
+        except TimeoutError:
+            raise wire.FramingError("no whole message in time") from None
+
+    async def _all_answered(self, client: Client) -> None:
+        while client.calls and not client.writer.is_closing():
+            client.idle.clear()
+            await client.idle.wait()
+
+    def _stirred(self, client: Client) -> None:
+        if client in self.clients:
+            del self.clients[client]
+            self.clients[client] = None
+
+    def _make_room(self) -> bool:
+        """At the cap the one silent longest of those that are owed nothing makes room, if it never asked
+        anything before those that did."""
+        idle = [client for client in self.clients if not client.calls]
+        oldest = next((client for client in idle if not client.greeted), idle[0] if idle else None)
+        if oldest is None:
+            return False
+        self.counters["clients.made_room"] += 1
+        del self.clients[oldest]
+        oldest.writer.close()
+        return True
+
     def _message(self, client: Client, view: memoryview, received_us: int) -> None:
         try:
-            message = wire.parse(view, self.limits, self.classes)
+            message = wire.parse(view, self.limits, self.known)
             match message:
                 case wire.Call():
                     self._call(client, message, received_us)
@@ -85,6 +145,9 @@
             self.counters["clients.malformed"] += 1
             log.warning("client: %s; answered with an error", fault)
             self._write(client, wire.error(fault.id, fault.code, str(fault)))
+            client.faults += 1
+            if client.faults > self.limits.client_faults:
+                raise wire.FramingError("too many messages that cannot be used") from None
 
     def _call(self, client: Client, call: wire.Call, received_us: int) -> None:
         if call.id in client.calls:  # an answer could not be told from the other's
@@ -101,6 +164,7 @@
             self._write(client, wire.answer(call.id, outcome))
             if not client.calls:
                 client.idle.set()
+            self._stirred(client)
 
         number = self.core.submit(call.request, received_us, answer)
         if call.id in client.calls:
@@ -116,14 +180,18 @@
         if not client.calls:
             client.idle.set()
 
+    def _unread(self) -> int:
+        return sum(client.writer.transport.get_write_buffer_size() for client in self.clients)
+
     def _write(self, client: Client, data: bytes) -> None:
         transport = client.writer.transport
         if transport.is_closing():
             client.idle.set()
             return
         client.writer.write(data)
-        if transport.get_write_buffer_size() > self.limits.client_write_bytes:
-            # A client that reads nothing would fill the memory.
+        unread, limits = transport.get_write_buffer_size(), self.limits
+        if unread > limits.client_write_bytes or (unread and self._unread() > limits.all_write_bytes):
+            # Clients that read nothing would fill the memory.
             self.counters["clients.too_slow"] += 1
             log.warning("client: reads too slowly; connection closed")
             transport.abort()
--- a/maplestile/wire/jsonrpc.py
+++ b/maplestile/wire/jsonrpc.py
@@ -2,18 +2,21 @@
 
 import binascii
 import json
-from collections.abc import Iterator
+import re
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from functools import lru_cache
 from typing import Any
 
 from maplestile.core import Outcome, Request, Verdict
+from maplestile.interface import Effect, Settings
 from maplestile.limits import Limits
 
 HEAD_END = b"\r\n\r\n"
 PARSE_ERROR, INVALID_REQUEST, UNKNOWN_METHOD, INVALID_PARAMS = -32700, -32600, -32601, -32602
 REFUSED, FAILED, EXPIRED = -32050, -32051, -32052
 TEXT_MOST, FIGURE_MOST = 256, 1e9
+TXN, NAME = re.compile("[0-9a-fA-F]{16}"), re.compile("[0-9A-Za-z._-]{1,64}")
 
 
 class FramingError(Exception):
@@ -28,6 +31,19 @@
         self.code, self.id = code, id_
 
 
+@dataclass(slots=True, frozen=True)
+class Known:
+    """What a request may name."""
+
+    classes: Mapping[str, bool]  # and whether its requests carry an idempotency key
+    tenants: frozenset[str]
+
+    @classmethod
+    def of(cls, settings: Settings) -> "Known":
+        classes = {kind.name: kind.effect is Effect.KEYED for kind in settings.classes}
+        return cls(classes, frozenset(settings.tenants))
+
+
 @dataclass(slots=True)
 class Call:
     id: int
@@ -90,7 +106,7 @@
     return b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
 
 
-def parse(view: memoryview, limits: Limits, classes: frozenset[str]) -> Call | Interrupt | Check:
+def parse(view: memoryview, limits: Limits, known: Known) -> Call | Interrupt | Check:
     try:
         message = json.loads(str(view, "utf-8"))
     except (ValueError, RecursionError):  # deep nesting must not end the program
@@ -110,27 +126,36 @@
         raise RpcError(INVALID_REQUEST, "field 'id' is no number")
     if method == "check":
         return Check(number)
-    if method not in classes:
+    if method not in known.classes:
         raise RpcError(UNKNOWN_METHOD, "unknown class", number)
     try:
-        return Call(number, _request(method, params, limits))
+        return Call(number, _request(method, params, limits, known))
     except (ValueError, OverflowError) as fault:
         raise RpcError(INVALID_PARAMS, str(fault), number) from None
 
 
-def _request(class_name: str, params: dict[str, Any], limits: Limits) -> Request:
+def _request(class_name: str, params: dict[str, Any], limits: Limits, known: Known) -> Request:
     extras = _figures(_text(params, "info", ""))
+    limit_us = int(_figure(params, "limit") * 1000)
+    if not 0 < limit_us <= limits.wait_most_us:
+        raise ValueError("field 'limit' is out of range")
+    tenant = _text(params, "team", "")
+    if known.tenants and tenant not in known.tenants:
+        raise ValueError("field 'team' names no tenant")
+    key = params.get("unique", "")
+    if known.classes[class_name] or key:
+        key = _name(params, "unique", NAME)
     return Request(
-        _text(params, "txn"),
-        _text(params, "item", ""),
+        _name(params, "txn", TXN),
+        _name(params, "item", NAME),
         class_name,
-        int(_figure(params, "limit") * 1000),
+        limit_us,
         extras.get("memory_mb", 0.0),
         max(1, int(extras.get("lanes", 1.0))),
         int(_figure(params, "cpu", 0.0) * 1000),
-        _text(params, "team", ""),
+        tenant,
         params.get("second") in (1, "1", True),
-        _text(params, "unique", ""),
+        key,
         _body(params.get("blob", ""), limits),
     )
 
@@ -155,6 +180,14 @@
     return value
 
 
+def _name(params: dict[str, Any], name: str, form: re.Pattern[str]) -> str:
+    """Names go on to runners: one that a runner cannot read would cost all that is open there."""
+    value = params.get(name)
+    if not isinstance(value, str) or not form.fullmatch(value):
+        raise ValueError(f"field '{name}' is no name of its form")
+    return value
+
+
 def _figure(params: dict[str, Any], name: str, default: float | None = None) -> float:
     value = params.get(name, default)
     try:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 ROOT = Path(__file__).parent.parent
+ITEM = "7f3a9c21e0b4d655"
 PATIENCE_S = 20.0  # how long a test waits for what must come; never a measure of speed
 
 
@@ -206,7 +207,7 @@
 
     def call(self, class_name: str, body: bytes, limit_ms: int = 10_000, **params: Any) -> int:
         told = {
-            "txn": os.urandom(8).hex(), "limit": limit_ms, "item": "f", "info": "memory_mb:100;lanes:4",
+            "txn": os.urandom(8).hex(), "limit": limit_ms, "item": ITEM, "info": "memory_mb:100;lanes:4",
             "blob": base64.b64encode(body).decode(),
         }  # fmt: skip
         return self.send(class_name, told | params)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -122,3 +122,13 @@
     rig.submit()
     rig.submit()
     assert [answer.verdict for answer in rig.answers] == [Verdict.REFUSED]
+
+
+def test_bodies_in_hand_are_bounded_by_bytes_and_given_back() -> None:
+    rig = Rig(open_bytes=3 * Request("", "", "", 1).bytes())
+    calls = [rig.submit() for _ in range(4)]
+    assert [answer.verdict for answer in rig.answers] == [Verdict.REFUSED]
+    rig.core.withdraw(calls[0])
+    rig.core.attempt_ended((calls[1], 0), Result.OK, b"x")
+    rig.run(2_000_000)
+    assert rig.core.open_bytes == 0 and not rig.core.open
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 import unittest
 from collections import Counter
 
@@ -10,7 +11,9 @@
 from tests.test_core import Rig
 from tests.test_machines import framed, message
 
-LIMITS = Limits(client_connections=2, client_streams=2, client_write_bytes=100_000)
+LIMITS = Limits(
+    client_connections=2, client_streams=2, client_write_bytes=100_000, client_message_us=300_000,
+)  # fmt: skip
 
 
 class FrontTest(unittest.IsolatedAsyncioTestCase):
@@ -34,6 +37,13 @@
             told: dict[str, object] = json.loads(await reader.readexactly(int(head.split(b":")[1])))
             return told
 
+    async def test_answers_do_not_wait_for_the_client_to_acknowledge_the_one_before(self) -> None:
+        reader, writer = await self.connect()
+        writer.write(framed(b'{"id":1,"method":"check"}'))
+        await self.answer(reader)
+        link = next(iter(self.front.clients)).writer.get_extra_info("socket")
+        self.assertTrue(link.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+
     async def test_check_is_ready_only_when_the_program_is(self) -> None:
         reader, writer = await self.connect()
         for self.ready in (False, True):
@@ -67,6 +77,37 @@
                 await asyncio.sleep(0.005)
         self.assertEqual(self.counters["clients.turned_away"], 1)
 
+    async def test_at_the_cap_the_one_silent_longest_makes_room_and_none_that_is_owed_an_answer(self) -> None:
+        first, first_writer = await self.connect()
+        first_writer.write(framed(b'{"id":1,"method":"check"}'))
+        await self.answer(first)
+        second, second_writer = await self.connect()
+        second_writer.write(framed(b'{"id":1,"method":"check"}'))
+        await self.answer(second)
+        first_writer.write(framed(message(limit=9_000)))
+        async with asyncio.timeout(20):
+            while not self.rig.core.open:
+                await asyncio.sleep(0.005)
+        third, third_writer = await self.connect()
+        third_writer.write(framed(b'{"id":1,"method":"check"}'))
+        await self.answer(third)
+        self.assertEqual(await second.read(1), b"")  # idle, and older than the third
+        self.assertEqual((len(self.rig.core.open), self.counters["clients.made_room"]), (1, 1))
+
+    async def test_connection_without_a_whole_message_in_time_is_closed_and_a_quiet_one_is_not(self) -> None:
+        quiet, quiet_writer = await self.connect()
+        quiet_writer.write(framed(b'{"id":1,"method":"check"}'))
+        await self.answer(quiet)
+        for part in (b"", framed(message())[:-1]):
+            half, half_writer = await self.connect()
+            half_writer.write(part)
+            self.assertIn("error", await self.answer(half))
+            self.assertEqual(await half.read(1), b"")
+        quiet_writer.write(framed(b'{"id":2,"method":"check"}'))
+        self.assertEqual((await self.answer(quiet))["id"], 2)
+        quiet_writer.write(b"Content-")  # a later message that does not come whole is bounded, too
+        self.assertIn("error", await self.answer(quiet))
+
     async def test_client_that_reads_nothing_is_let_go(self) -> None:
         _, writer = await self.connect()
         writer.write(framed(message(limit=9_000)))
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -1,11 +1,13 @@
 """The wire's state machines, fed bytes in odd pieces."""
 
 import json
+import logging
 import struct
 
 import pytest
 
 from maplestile import interface as api
+from maplestile import logs
 from maplestile.core import Outcome, Verdict
 from maplestile.fleet import Fleet, FleetError
 from maplestile.interface import Result
@@ -13,11 +15,13 @@
 from maplestile.wire import dns, jsonrpc, runner
 from tests.standins import name_bytes, record, target
 
-CLASSES = frozenset({"review"})
+KNOWN = jsonrpc.Known({"review": False, "deck-make": True}, frozenset({"acme"}))
+TXN, ITEM, KEY = "9b1f03aa5c7e2d41", "7f3a9c21e0b4d655", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
 
 
 def message(method: str = "review", **params: object) -> bytes:
-    told = {"txn": "ab", "limit": 900, "item": "f", "blob": "aGk=", "info": "memory_mb:512;lanes:2;odd:x"}
+    told = {"txn": TXN, "limit": 900, "item": ITEM, "blob": "aGk=", "team": "acme",
+            "info": "memory_mb:512;lanes:2;odd:x"}  # fmt: skip
     return json.dumps({"jsonrpc": "2.0", "id": 7, "method": method, "params": told | params}).encode()
 
 
@@ -27,11 +31,11 @@
 
 @pytest.mark.parametrize("step", [1, 3, 64, 10_000])
 def test_messages_are_the_same_in_pieces_of_any_size(step: int) -> None:
-    stream = framed(message()) + framed(message(txn="cd")) + b"content-length:2\r\nX: y\r\n\r\n{}"
+    stream = framed(message()) + framed(message(txn=TXN[::-1])) + b"content-length:2\r\nX: y\r\n\r\n{}"
     framer, found = jsonrpc.Framer(Limits()), []
     for at in range(0, len(stream), step):
         found += [bytes(view) for view in framer.feed(stream[at : at + step])]
-    assert found == [message(), message(txn="cd"), b"{}"]
+    assert found == [message(), message(txn=TXN[::-1]), b"{}"]
 
 
 @pytest.mark.parametrize(
@@ -47,10 +51,10 @@
 
 
 def test_call_takes_class_from_the_method_and_body_from_the_blob() -> None:
-    call = jsonrpc.parse(memoryview(message(second="1", unique="k", cpu=8.2)), Limits(), CLASSES)
+    call = jsonrpc.parse(memoryview(message(second="1", unique=KEY, cpu=8.2)), Limits(), KNOWN)
     assert isinstance(call, jsonrpc.Call)
     request = call.request
-    assert (request.class_name, request.body, request.key, request.repeat) == ("review", b"hi", "k", True)
+    assert (request.class_name, request.body, request.key, request.repeat) == ("review", b"hi", KEY, True)
     assert (request.budget_us, request.cost_us, request.memory_mb, request.lanes) == (900_000, 8200, 512, 2)
 
 
@@ -58,11 +62,14 @@
     ("body", "code"),
     [(b"{", -32700), (b"\xff", -32700), (b"[" * 100_000, -32700), (b"[]", -32600), (b'{"id":1}', -32600),
      (message("nobody"), -32601), (message(blob="?"), -32602), (message(limit=float("nan")), -32602),
-     (message(limit=-5), -32602), (message(txn=5), -32602), (message(blob="A" * 24_000), -32602)],
+     (message(limit=-5), -32602), (message(txn=5), -32602), (message(blob="A" * 24_000), -32602),
+     (message(limit=0), -32602), (message(limit=1e9), -32602), (message(team="nobody"), -32602),
+     (message(txn="x"), -32602), (message(item=ITEM + "\n"), -32602), (message("deck-make"), -32602),
+     (message("deck-make", unique=""), -32602), (message(unique=5), -32602)],
 )  # fmt: skip
 def test_malformed_message_is_one_error(body: bytes, code: int) -> None:
     with pytest.raises(jsonrpc.RpcError) as fault:
-        jsonrpc.parse(memoryview(body), Limits(), CLASSES)
+        jsonrpc.parse(memoryview(body), Limits(), KNOWN)
     assert fault.value.code == code
 
 
@@ -129,3 +136,18 @@
     with pytest.raises(FleetError):
         odd = {"targets": [target("x", 1, "Odd")]}
         fleet.apply_known({"updates": [{"index": 5, "endpoints": odd}]})
+
+
+def test_warnings_of_one_kind_are_bounded_and_others_pass(monkeypatch: pytest.MonkeyPatch) -> None:
+    now, limit = [0.0], logs.RateLimit()
+    monkeypatch.setattr("time.monotonic", lambda: now[0])
+
+    def passed(level: int, text: str) -> str:
+        record = logging.LogRecord("x", level, "", 0, text, (), None)
+        return record.getMessage() if limit.filter(record) else ""
+
+    assert [bool(passed(logging.WARNING, "odd")) for _ in range(8)] == [True] * 5 + [False] * 3
+    assert passed(logging.WARNING, "other") and passed(logging.ERROR, "odd")
+    now[0] = 10.0
+    assert passed(logging.WARNING, "odd") == "odd (and 3 more like it, not shown)"
+    assert passed(logging.WARNING, "odd") == "odd"
--- a/tests/test_process_platform.py
+++ b/tests/test_process_platform.py
@@ -1,9 +1,11 @@
 """The real program as the platform runs it, among stand-ins."""
 
+import contextlib
+import resource
 import signal
 import unittest
 
-from tests.standins import Client, NameServer, Worker, eventually, node
+from tests.standins import ITEM, Client, NameServer, Worker, eventually, node
 
 
 class PlatformTest(unittest.TestCase):
@@ -18,15 +20,15 @@
         check = self.client.send("check")
         self.assertEqual(self.client.read(), {"jsonrpc": "2.0", "id": check, "result": {"ready": True}})
         slow = self.client.call("test-submit", b"hang:", limit_ms=600)
-        quick = self.client.call("review", b"abc", unique="k1")
+        quick = self.client.call("review", b"abc", unique="5c0f")
         self.assertEqual(self.client.read(), {"jsonrpc": "2.0", "id": quick, "result": {"blob": "Y2Jh"}})
         late = self.client.read()
         assert late is not None
         self.assertEqual(late["id"], slow)
         self.assertNotEqual(late["error"]["code"], -32050)  # it may have run, so it is not refused
         told = next(call for worker in self.workers for call in worker.ran if call["bytes"] == "YWJj")
-        self.assertEqual((told["head"]["class"], told["head"]["key"]), ("review", "f"))
-        self.assertEqual(told["head"]["once"], "k1")
+        self.assertEqual((told["head"]["class"], told["head"]["key"]), ("review", ITEM))
+        self.assertEqual(told["head"]["once"], "5c0f")
         eventually(lambda: [m for w in self.workers for m in w.lines if m["kind"] == "CANCEL"], "a CANCEL")
 
     def test_malformed_input_gets_an_error_or_a_close_and_the_program_goes_on(self) -> None:
@@ -49,6 +51,41 @@
         self.assertIn("result", self.client.read() or {})
         self.assertEqual(self.program.counters()["clients.malformed"], 8)
 
+    def test_hundreds_of_silent_connections_lock_nobody_out(self) -> None:
+        port = self.program.port("platform")
+        resource.prlimit(self.program.process.pid, resource.RLIMIT_NOFILE, (256, 256))
+        stays = Client(port)
+        stays.call("review", b"abc")
+        self.assertIn("result", stays.read() or {})
+        late = stays.call("test-submit", b"hang:", limit_ms=4_000)  # it is owed an answer all the while
+        silent = [Client(port) for _ in range(300)]
+        other = Client(port)
+        other.call("review", b"abc")
+        self.assertIn("result", other.read() or {})
+        for client in silent:  # each is let go long before a client would wonder
+            with contextlib.suppress(ConnectionError):
+                self.assertIsNone((client.read() or {}).get("id"))
+            client.close()
+        other.call("review", b"abc")
+        self.assertIn("result", other.read() or {})
+        self.assertEqual((stays.read() or {})["id"], late)
+        counters = self.program.counters()
+        self.assertGreater(counters["clients.made_room"], 100)
+        self.assertNotIn("clients.turned_away", counters)
+
+    def test_flood_on_one_connection_ends_it_and_spares_the_others(self) -> None:
+        flood = Client(self.program.port("platform"))
+        told = b'{"id":1,"method":"nobody"}'
+        flood.socket.sendall(2_000 * (b"Content-Length: %d\r\n\r\n%b" % (len(told), told)))
+        self.client.call("review", b"abc")
+        self.assertIn("result", self.client.read() or {})
+        answers = 0
+        with contextlib.suppress(ConnectionError):
+            while flood.read() is not None:
+                answers += 1
+        self.assertLess(answers, 100)
+        self.assertLess(len([line for line in self.program.log if "unknown class" in line]), 6)
+
     def test_interrupt_ends_a_call_without_an_answer(self) -> None:
         id_ = self.client.call("test-submit", b"hang:")
         eventually(lambda: [c for w in self.workers for c in w.ran], "the call")
