End hopeless repeats at once, and let names nobody knows blame no worker

Cause: Dispatcher.hold kept a keyed call waiting for a worker of its cell where none was left to try (drops), until its deadline; and judge took each such error for a symptom of the worker, five workers a call.

A call that may go to no running worker any more is finished in that moment. Errors of a function that was never served count against its name; after three a call of it gets one try. A row that is forgotten now takes its copies and loads at the workers with it: 'copies' kept every function ever seen.

--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -32,6 +32,7 @@
 SILENT_SERVICES = 3.0  # expected times without any answer after which a worker counts as silent
 SICK_STEP, SICK_AT = 0.5, 0.45  # suspicion that a bad outcome adds in its group; from which a worker is left
 SICK_RESET, RESET_TICKS = 0.2, 2  # the same for a broken connection; ticks in which its ends count as one
+UNKNOWN_ERRORS = 3  # of a function that was never served: they tell of its name, and of no worker
 SICK_KEEPS = 0.7  # keep-alives in which a suspicion halves without news; then calls try the worker again
 SLOW_MOVES = 2.0  # times the expected service time from which an answer sends the home elsewhere
 RETRY_SHARE, RETRY_BURST = 0.3, 20.0  # further attempts that a call earns, against storms; most saved
@@ -110,8 +111,13 @@
         row.place, self.lists[place][row.function] = place, row
         if len(self.lists[SINGLE]) > SINGLE_ROWS * self.capacity:
             oldest = next(iter(self.lists[SINGLE].values()))
-            if not oldest.waiting and not oldest.busy:
-                del self.rows[oldest.function], self.lists[SINGLE][oldest.function]
+            if not oldest.waiting and not oldest.busy: self.forget(oldest)
+
+    def forget(self, row: Row) -> None:
+        """All that is kept by its name: functions come and go for as long as the process lives."""
+        del self.rows[row.function], self.lists[row.place][row.function]
+        for worker in self.workers.values():
+            if (copy := worker.copies.pop(row.function, None)) is not None: self.loads.pop(copy, None)
 
     def faded(self, since_us: int, keeps: float) -> float:
         return float(0.5 ** ((self.now - since_us) / (keeps * self.keep_us)))
@@ -184,7 +190,10 @@
 
     def hold(self, call: Call) -> None:
         call.row.waiting[call.id] = call
-        if self.now > call.since_us + call.kind.aim_us and self.may_refuse(call): self.finish(call)
+        late = self.now > call.since_us + call.kind.aim_us and self.may_refuse(call)
+        # Where it may go nowhere any more, waiting brings no worker.
+        lost = call.attempts and not any(self.repeatable(call, w) for w in self.workers.values())
+        if late or lost: self.finish(call)
         elif self.now >= call.row.retry_us:  # one timer a row: held calls must not storm the module
             awaited_us = max(HELD_SERVICES * call.row.service_us, HELD_LOADS * call.row.load_us)
             wait_us = int(max(PAUSE_US, awaited_us))
@@ -267,12 +276,15 @@
         if call.streaming or not self.running(worker) or self.now >= call.due_us: return False
         if self.now < max(worker.full_us.get(call.group, 0), call.row.copy(worker).full_us): return False
         if not call.attempts: return self.ramp_allows(worker, call)
+        twice = call.outstanding() and not self.set.may_duplicate
+        return not twice and self.repeatable(call, worker) and self.ramp_allows(worker, call)
+
+    def repeatable(self, call: Call, worker: Worker) -> bool:
+        """Rule 1: where a call that went out before may ever go again."""
         ran = [a for a in call.attempts if a.result not in NEVER_RAN]
         tried = any(a.worker is worker and a.result not in (Result.MISS, Result.FULL) for a in call.attempts)
-        twice = call.outstanding() and not self.set.may_duplicate
-        if tried or twice or len(call.attempts) >= self.set.max_attempts: return False
-        repeatable = not ran or call.kind.effect is Effect.SAFE or self.drops(call, ran, worker.entry)
-        return repeatable and self.ramp_allows(worker, call)
+        if tried or len(call.attempts) >= self.set.max_attempts or not self.running(worker): return False
+        return not ran or call.kind.effect is Effect.SAFE or self.drops(call, ran, worker.entry)
 
     def drops(self, call: Call, ran: list[Attempt], entry: api.WorkerEntry) -> bool:
         """A keyed call goes again only where its repeats are dropped, and only while they are remembered."""
@@ -371,8 +383,8 @@
 
     def again(self, call: Call, result: Result) -> None:
         """A further attempt, out of the retry budget; an unsafe call that may have run is at its end."""
-        if call.kind.effect is Effect.UNSAFE and any(a.result not in NEVER_RAN for a in call.attempts):
-            self.finish(call)
+        ran = any(a.result not in NEVER_RAN for a in call.attempts)
+        if (call.kind.effect is Effect.UNSAFE and ran) or call.row.errors >= UNKNOWN_ERRORS: self.finish(call)
         elif result is Result.MISS or self.retries < 1.0: self.hold(call)
         else:
             self.retries -= 1.0
@@ -433,6 +445,7 @@
             pauses = FULL_SERVICES * 2 ** min(FULL_DOUBLINGS, worker.fulls[call.group] - 1)
             worker.full_us[call.group] = self.now + int(pauses * call.row.service_us)
             call.row.home = ""
+        elif event.result is Result.ERROR and not call.row.good: call.row.errors += 1
         elif event.result in BAD and event.warmth is not Warmth.LOAD_FAILED:
             self.suspect(call, worker, SICK_STEP)
         elif event.result is Result.RESET and self.now >= worker.reset_us + RESET_TICKS * self.set.tick_us:
@@ -441,6 +454,7 @@
             worker.reset_us = self.now
             self.suspect(call, worker, SICK_RESET)
         elif event.result is Result.OK:
+            call.row.good, call.row.errors = True, 0
             worker.heard_us[call.group] = self.now
             for told in (worker.fulls, worker.sick): told.pop(call.group, None)
             worker.sick.pop("", None)
--- a/maplestile/state.py
+++ b/maplestile/state.py
@@ -86,6 +86,8 @@
     memory_mb: float = 0.0
     lanes: int = 1
     loading_us: int = 0
+    good: bool = False  # it was served once
+    errors: int = 0  # until then
     ranking: list[Worker] = field(default_factory=list)
     waiting: dict[int, "Call"] = field(default_factory=dict)
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -211,6 +211,41 @@
     assert all(send.worker != home for send in sends(d.give(arrival(8, "f", "unsafe"))))
 
 
+def test_call_that_may_go_nowhere_any_more_is_answered_at_once() -> None:
+    d = Driver(settings(), [entry("a0", zone="za"), entry("b0", zone="zb")])
+    worker = sends(d.give(arrival(1, "f", "keyed")))[0].worker
+    assert finals(d.give(ended(1, 0, worker, api.Result.RESET))) == [api.Fail(1)]  # no other one in its zone
+    d = Driver(settings(), WORKERS[:1])
+    d.give(arrival(1, "f"))
+    assert len(finals(d.give(ended(1, 0, "w0", api.Result.RESET)))) == 1
+
+
+def test_name_that_no_worker_knows_blames_none_and_is_given_up_soon() -> None:
+    d = Driver(settings(), WORKERS)
+    (send,) = sends(d.give(arrival(1, "x")))
+    done = list[api.Action]()
+    for attempt in range(3):
+        assert not finals(done)
+        done = d.give(ended(1, attempt, send.worker, api.Result.ERROR, 5 * MS)) + d.run(100 * MS)
+        send = (sends(done) or [send])[0]
+    assert len(finals(done)) == 1
+    assert not any(worker.sick for worker in d.dispatcher.workers.values())
+    (send,) = sends(d.give(arrival(2, "x")))  # later ones get one try each, until the name is good
+    assert finals(d.give(ended(2, 0, send.worker, api.Result.ERROR, 5 * MS)))
+    served(d, 3, "x")
+    assert d.dispatcher.rows["x"].errors == 0
+
+
+def test_functions_that_are_forgotten_leave_nothing_at_the_workers() -> None:
+    d = Driver(settings(), WORKERS)
+    for call in range(2_000):
+        served(d, call, f"f{call}")
+    kept = len(d.dispatcher.rows)
+    assert kept < 500 and len(d.dispatcher.calls) == 0
+    assert sum(len(w.copies) for w in d.dispatcher.workers.values()) <= kept * len(WORKERS)
+    assert len(d.dispatcher.loads) <= kept
+
+
 def test_cold_worker_gets_some_and_never_too_much_from_all_dispatchers_together() -> None:
     """Rule 4 summed over 300 seeds: one cold worker among 20, steady traffic at two thirds of capacity."""
     told, cores, sent = settings(dispatchers=300), 2.0, list[int]()
@@ -267,6 +302,7 @@
     """Workers that stay silent for one class (or one tenant) go on serving the rest."""
     d = Driver(settings(), WORKERS[:1])
     call = d.dispatcher
+    served(d, 0, "f")
     d.give(arrival(1, "f"))
     d.give(ended(1, 0, "w0", api.Result.ERROR))
     safe, unsafe = d.give(arrival(2, "f")), d.give(arrival(3, "g", "unsafe"))
