Learn how long a runner connection may rest, and meet a worker once more after a reset

A probe that logs the idle time before each write and its end: within 75 ms of the last word 2% of the writes meet a reset, from 100 to 425 ms 15 to 24%, and idle connections are reset at 415 to 470 ms. Each reset ends all that shares the connection, and a repeat went to another worker (Dispatcher.repeatable, 'tried'), where the function was mostly not loaded.

Now the pool learns the rest that connections survive, and a repeatable call may meet the same worker once more after a reset.

--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -12,6 +12,7 @@
 from maplestile.state import CACHING, MULTIPLE, NOWHERE, SINGLE, Attempt, Call, Copy, Row, Window, Worker
 
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)  # the wire's proofs
+ELSEWHERE = (Result.MISS, Result.FULL)  # these say nothing against a further try at the same worker
 BAD = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED)  # symptoms of an unwell worker
 ANSWER_TICKS, ANSWER_US = 2, 120_000  # before the budget's end, at which the last answer goes out: a busy
 # process acts late, and an answer past the deadline is a lost call
@@ -282,7 +283,9 @@
     def repeatable(self, call: Call, worker: Worker) -> bool:
         """Rule 1: where a call that went out before may ever go again."""
         ran = [a for a in call.attempts if a.result not in NEVER_RAN]
-        tried = any(a.worker is worker and a.result not in (Result.MISS, Result.FULL) for a in call.attempts)
+        # A connection that broke says little of the worker, whose copy stands: it may be met once more.
+        met = [a.result for a in call.attempts if a.worker is worker and a.result not in ELSEWHERE]
+        tried = met and met != [Result.RESET]
         if tried or len(call.attempts) >= self.set.max_attempts or not self.running(worker): return False
         return not ran or call.kind.effect is Effect.SAFE or self.drops(call, ran, worker.entry)
 
--- a/maplestile/limits.py
+++ b/maplestile/limits.py
@@ -34,6 +34,10 @@
     runner_connections: int = 480
     runner_streams: int = 32
     runner_queue: int = 4096
+    # The least that the learned rest of a connection falls to (a handshake for each pause in the traffic),
+    # and the time without a break after which it doubles.
+    runner_rest_least_us: int = 50_000
+    runner_rest_us: int = 5_000_000
     runner_line_bytes: int = 64 * KB
     # Between two pieces of one answer: a tenth of the shortest aims, and far over a pause on the way.
     runner_line_us: int = 250_000
--- a/maplestile/net/runners.py
+++ b/maplestile/net/runners.py
@@ -18,6 +18,7 @@
 from maplestile.wire import runner as wire
 
 log = logging.getLogger(__name__)
+REST_PART = 0.8  # of the rest that broke a connection: how long the next ones may rest
 TURNED = 64  # tags that a connection remembers as turned away
 
 
@@ -46,6 +47,7 @@
     turned: deque[str] = field(default_factory=lambda: deque(maxlen=TURNED))
     partial: Message | None = None  # the last one written, while not all of it is with the system
     heard_us: int = 0
+    rested_us: int = 0  # before the first request that it carries, until it is heard
     doubtful: bool = False  # silent for longer than its requests could wait: carries nothing new until heard
     closed: bool = False
     task: asyncio.Task[None] | None = None
@@ -73,6 +75,9 @@
         self.runners: dict[str, Runner] = {}
         self.where: dict[AttemptId, tuple[Connection, Message]] = {}
         self.connections = 0
+        # How long a connection may rest and still carry a request: learned, since some way along may drop it
+        # sooner than the settings tell, and says so only when the next request comes.
+        self.keep_us, self.kept_us = limits.runner_idle_us, 0
 
     # The list.
 
@@ -149,10 +154,12 @@
     def sweep(self) -> None:
         """Close what lies idle before the runner does: a send that meets its close would be lost."""
         now = self.clock()
+        if now - self.kept_us > self.limits.runner_rest_us:  # what dropped them may have passed
+            self.keep_us, self.kept_us = min(2 * self.keep_us, self.limits.runner_idle_us), now
         for runner in list(self.runners.values()):
             for connection in [c for c in runner.connections if c.doubtful and not c.streams()]:
                 self._close(connection, Result.RESET)
-            self._close_unused(runner, now - self.limits.runner_idle_us if runner.listed else None)
+            self._close_unused(runner, now - self.keep_us if runner.listed else None)
             if not runner.listed and not runner.connections:
                 self.runners.pop(runner.uid, None)
 
@@ -184,8 +191,13 @@
             c for c in runner.connections
             if c.streams() < most and not c.doubtful and tag not in c.open and tag not in c.turned
         ]  # fmt: skip
-        if free:  # the fullest first, so that the others can fall idle and be closed
-            return max(free, key=lambda c: (c.writer is not None, len(c.open)))
+        # The fullest first, so that the others can fall idle and be closed; of idle ones the one used last.
+        best = max(free, key=lambda c: (c.writer is not None, c.streams(), c.used_us), default=None)
+        if best is not None and (best.streams() or self.clock() - best.used_us < self.keep_us):
+            return best
+        return self._open(runner) or best
+
+    def _open(self, runner: Runner) -> Connection | None:
         if self.connections >= self.limits.runner_connections:  # the descriptors are budgeted
             return None
         now = self.clock()
@@ -209,6 +221,7 @@
             lines = wire.Lines(self.limits.runner_line_bytes)
             while data := await self._read(reader, lines):
                 connection.used_us = connection.heard_us = self.clock()
+                connection.rested_us = 0
                 connection.doubtful = False
                 for line in lines.feed(data):
                     self._answer(connection, wire.parse(line))
@@ -248,6 +261,8 @@
                 self.counters["runners.stale"] += 1
                 self._unsent(message, Result.MOOT)
                 continue
+            if not connection.open and not connection.errands:
+                connection.rested_us = self.clock() - connection.used_us
             if message.attempt is not None:
                 connection.open[message.tag] = message.attempt
             elif message.tag:
@@ -311,6 +326,8 @@
             connection.task.cancel()
         written, connection.open = connection.open, {}
         errands, connection.errands = connection.errands, {}
+        if result is Result.RESET and connection.rested_us:
+            self._rested_too_long(connection)
         for attempt in written.values():
             self.where.pop(attempt, None)
             self.core.attempt_ended(attempt, result)
@@ -321,6 +338,16 @@
             if connection.writer is None or not self._again(connection.runner, message):
                 self._unsent(message, Result.CONNECT_FAILED)
 
+    def _rested_too_long(self, connection: Connection) -> None:
+        """It broke at the first request after a rest, before it was heard, and where that came at once the
+        rest is to blame."""
+        now, least_us = self.clock(), self.limits.runner_rest_least_us
+        if now - connection.used_us > least_us:
+            return
+        self.counters["runners.rested_too_long"] += 1
+        self.keep_us = max(least_us, min(self.keep_us, int(REST_PART * connection.rested_us)))
+        self.kept_us = now
+
     def _again(self, runner: Runner, message: Message) -> bool:
         if message.attempt is not None and message.attempt not in self.where:
             return True  # called off meanwhile
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -67,6 +67,26 @@
         await self.until(3)
         self.assertEqual((self.ends.ended[3, 0], self.pool.connections), (Result.OK, 2))
 
+    async def test_rest_that_breaks_connections_is_learned_and_forgotten(self) -> None:
+        self.send(1, b"abc")
+        await self.until(1)
+        self.now += 1_000_000
+        self.send(2, b"die")  # the first one after a rest: it meets the reset of a connection long dropped
+        await self.until(2)
+        self.assertEqual(self.pool.keep_us, 800_000)
+        self.worker = Worker()
+        self.list(port=self.worker.port)
+        self.send(3, b"abc")
+        await self.until(3)
+        self.now += 900_000
+        self.send(4, b"abc")  # not by the one that has rested for so long
+        await self.until(4)
+        self.assertEqual(len(self.worker.open), 2)
+        for _ in range(3):
+            self.now += 5_100_000
+            self.pool.sweep()
+        self.assertEqual(self.pool.keep_us, 5_000_000)
+
     async def test_restarted_runner_is_not_spoken_to_on_an_old_connection(self) -> None:
         self.send(1, b"hang:")
         self.send(2, b"abc")
