Never make a newcomer room for the next one, and take nothing after a close

A probe of opens, evictions and messages: 192 connections at the cap, all of which had asked and stay; the newcomer, 74 microseconds old, is the only one that has not asked, so _make_room closed it for the next one. Its request had been read with the accept and was then taken all the same: closed without an answer, lost. Ruled out: the drain (all three nodes ended with nothing owed, and none of the losses falls into one).

A connection now has 200 ms to ask before it goes first; else the longest idle one goes. What was read before the close and not handled is not taken, so its client sends it again.

--- a/maplestile/limits.py
+++ b/maplestile/limits.py
@@ -17,6 +17,7 @@
     client_streams: int = 32
     # For a whole message, from the connect or from its first byte: half of what a client waits for a word.
     client_message_us: int = 1_500_000
+    client_grace_us: int = 200_000  # for a new connection to ask before it may have to make room
     client_faults: int = 64  # messages that cannot be used, on one connection: its client will not learn
     client_turn: int = 16  # messages of one connection before the others have their turn: 2 to 3 ms
     client_write_bytes: int = 1 << 20  # unread answers of one client, about twice what 32 streams can owe
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -83,6 +83,8 @@
     async def _read_all(self, client: Client, reader: asyncio.StreamReader) -> None:
         framer = wire.Framer(self.limits)
         while data := await self._read(client, reader, framer):
+            if client.writer.is_closing():  # it made room: what crossed that is sent again by its client
+                return
             received_us, whole = self.received(), 0
             for whole, view in enumerate(framer.feed(data), 1):
                 client.greeted = True
@@ -120,10 +122,12 @@
             self.clients[client] = None
 
     def _make_room(self) -> bool:
-        """At the cap the one silent longest of those that are owed nothing makes room, if it never asked
-        anything before those that did."""
+        """At the cap one that is owed nothing makes room: the first that has had its time to ask and never
+        did, or else the one silent longest of those that asked, or else the first of the newcomers."""
+        since_us = self.core.clock() - self.limits.client_grace_us
         idle = [client for client in self.clients if not client.calls]
-        oldest = next((client for client in idle if not client.greeted), idle[0] if idle else None)
+        silent = (client for client in idle if not client.greeted and client.since_us < since_us)
+        oldest = next(silent, None) or next((c for c in idle if c.greeted), idle[0] if idle else None)
         if oldest is None:
             return False
         self.counters["clients.made_room"] += 1
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -94,6 +94,31 @@
         self.assertEqual(await second.read(1), b"")  # idle, and older than the third
         self.assertEqual((len(self.rig.core.open), self.counters["clients.made_room"]), (1, 1))
 
+    async def test_newcomer_is_not_the_one_to_make_room_for_the_next(self) -> None:
+        """Where all others asked and stay, the newcomer is the only one that has not asked yet."""
+        stayed, stayed_writer = await self.connect()
+        stayed_writer.write(framed(b'{"id":1,"method":"check"}'))
+        await self.answer(stayed)
+        new, new_writer = await self.connect()
+        async with asyncio.timeout(20):
+            while len(self.front.clients) < 2:
+                await asyncio.sleep(0.005)
+        await self.connect()
+        self.assertEqual(await stayed.read(1), b"")
+        new_writer.write(framed(b'{"id":1,"method":"check"}'))
+        self.assertEqual((await self.answer(new))["id"], 1)
+
+    async def test_request_that_crosses_the_close_of_its_connection_is_not_taken(self) -> None:
+        await self.connect()
+        async with asyncio.timeout(20):
+            while not self.front.clients:
+                await asyncio.sleep(0.005)
+        client, reader = next(iter(self.front.clients)), asyncio.StreamReader()
+        self.assertTrue(self.front._make_room())
+        reader.feed_data(framed(message(limit=9_000)))  # was read before the close, and is handled after it
+        await self.front._read_all(client, reader)
+        self.assertEqual(self.rig.core.counters["requests.taken"], 0)
+
     async def test_connection_without_a_whole_message_in_time_is_closed_and_a_quiet_one_is_not(self) -> None:
         quiet, quiet_writer = await self.connect()
         quiet_writer.write(framed(b'{"id":1,"method":"check"}'))
