Give the collector a module of its own, and a full pass every 15 s

The thresholds 20,000/20/50 make a full pass due after 20 million allocations, and connections that stood for some seconds are in the oldest generation by then.

--- a/maplestile/__main__.py
+++ b/maplestile/__main__.py
@@ -3,7 +3,6 @@
 Without arguments it is a node of the platform, told all by its environment; else the command line."""
 
 import asyncio
-import gc
 import json
 import logging
 import os
@@ -19,6 +18,7 @@
 from maplestile import logs
 from maplestile.config import Config, ConfigError, address, config_from
 from maplestile.core import Core
+from maplestile.garbage import Collector
 from maplestile.interface import ListKind
 from maplestile.net.names import Names
 from maplestile.net.platform import Platform
@@ -30,7 +30,6 @@
 
 log = logging.getLogger("maplestile")
 SWEEP_S, DRAIN_LOOK_S = 1.0, 0.02
-GC_THRESHOLD = 20_000  # allocations between looks of the youngest generation: each look stops the loop
 
 
 def clock() -> int:
@@ -44,8 +43,9 @@
     def __init__(self, configure: Callable[[], Config], selector: StampedSelector) -> None:
         self.configure, self.config = configure, configure()
         self.name, self.limits, self.fleet = self.config.name, self.config.limits, self.config.fleet
-        self.selector, self.collecting_s = selector, 0.0
+        self.selector = selector
         self.counters: Counter[str] = Counter()
+        self.collector = Collector(self.counters)
         self.runners = Runners(self.limits, clock, self.counters)
         seed, settings = self.config.seed, self.config.settings
         self.core = Core(settings, self.limits, seed, self.runners, clock, self._alarm, self.counters)
@@ -76,7 +76,7 @@
         loop.add_signal_handler(signal.SIGINT, self.stopping.set)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
-        gc.callbacks.append(self._collected)
+        self.collector.start()
         self.runners.update(self.fleet)
         self.core.list_changed(self.fleet.event(ListKind.CACHED))
         servers = await self._listen()
@@ -90,6 +90,7 @@
         for task in (sweep, self.names):
             if task is not None:
                 task.cancel()
+        self.collector.stop()
         self.print_counters()
 
     def _start(self, part: Coroutine[object, object, None]) -> asyncio.Task[None]:
@@ -174,6 +175,7 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             self.runners.sweep()
+            self.collector.look(time.monotonic())
 
     async def _drain(self) -> None:
         """Go on serving what comes; clients hear of the end late. Leave when nothing is owed."""
@@ -183,14 +185,6 @@
             await asyncio.sleep(DRAIN_LOOK_S)
         log.info("%s stops; nothing is owed", self.name)
 
-    def _collected(self, phase: str, info: dict[str, int]) -> None:
-        """Keeps the longest pause that the collector made; each one stops the loop."""
-        now = time.perf_counter()
-        if phase == "stop":
-            pause_us = int((now - self.collecting_s) * 1e6)
-            self.counters["gc.longest_us"] = max(self.counters["gc.longest_us"], pause_us)
-        self.collecting_s = now
-
     def print_counters(self) -> None:
         self.counters["loop.longest_us"] = int(self.selector.busiest_s * 1e6)
         told = {name: self.counters[name] for name in sorted(self.counters)}
@@ -219,10 +213,7 @@
         with asyncio.Runner(loop_factory=lambda: loop) as runner:
 
             async def start() -> None:
-                node = Node(configure, selector)
-                gc.freeze()
-                gc.set_threshold(GC_THRESHOLD, 20, 50)
-                await node.run()
+                await Node(configure, selector).run()
 
             runner.run(start())
     except (ConfigError, OSError) as fault:
--- /dev/null
+++ b/maplestile/garbage.py
@@ -0,0 +1,41 @@
+"""The garbage collector, kept off the hot path and yet in use: each of its passes stops the loop.
+
+Closed connections are cycles (asyncio's streams, transports and tasks point at each other). Those that have
+stood for a while are in the oldest generation, which the collector by itself would hardly ever look at."""
+
+import gc
+import time
+from collections import Counter
+
+YOUNGEST = 20_000  # allocations between looks of the youngest generation
+OLDEST = (20, 50)  # looks of a younger generation to each of the next; so full passes are the program's own
+FULL_S = 15.0  # between full passes: one takes milliseconds, some tens of them in a large process
+
+
+class Collector:
+    def __init__(self, counters: Counter[str]) -> None:
+        self.counters, self.began_s, self.full_s = counters, 0.0, 0.0
+
+    def start(self) -> None:
+        """What stands now stands for good, and is not looked at again."""
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(YOUNGEST, *OLDEST)
+        gc.callbacks.append(self._passed)
+
+    def stop(self) -> None:
+        gc.callbacks.remove(self._passed)
+
+    def look(self, now_s: float) -> None:
+        """Called now and then; makes a full pass when one is due."""
+        if now_s - self.full_s >= FULL_S:
+            self.full_s = now_s
+            gc.collect()
+
+    def _passed(self, phase: str, info: dict[str, int]) -> None:
+        """Keeps the longest pause."""
+        now_s = time.perf_counter()
+        if phase == "stop":
+            pause_us = int((now_s - self.began_s) * 1e6)
+            self.counters["gc.longest_us"] = max(self.counters["gc.longest_us"], pause_us)
+        self.began_s = now_s
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -1,6 +1,7 @@
 """The operator's file, the store, the agent and the traces."""
 
 import asyncio
+import gc
 import io
 import re
 import signal
@@ -8,6 +9,7 @@
 import sys
 import tempfile
 import unittest
+import weakref
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
@@ -18,6 +20,7 @@
 from maplestile import traces
 from maplestile.agent import ask
 from maplestile.cli import main
+from maplestile.garbage import Collector
 from maplestile.invoke.operator import OperatorError, parse
 from maplestile.invoke.problems import Response
 from maplestile.invoke.store import Record, Store
@@ -140,6 +143,37 @@
         self.assertEqual(await asyncio.to_thread(self.agent.process.wait, 20), 0)
 
 
+class Knot:
+    """Points at itself, as a connection does."""
+
+    def __init__(self) -> None:
+        self.self = self
+
+
+def test_old_garbage_is_found_by_the_full_passes_and_the_longest_pause_is_kept() -> None:
+    counters, before = Counter[str](), gc.get_threshold()
+    collector = Collector(counters)
+    collector.start()
+    try:
+        knots = [Knot() for _ in range(3)]
+        gc.collect()  # they have stood for a while: the oldest generation
+        dead = weakref.ref(knots[0])
+        del knots
+        gc.collect(1)
+        assert dead() is not None
+        collector.look(100.0)
+        assert dead() is None and counters["gc.longest_us"] > 0
+        knot = Knot()
+        dead = weakref.ref(knot)
+        del knot
+        collector.look(101.0)  # not due yet
+        assert dead() is not None
+    finally:
+        collector.stop()
+        gc.unfreeze()
+        gc.set_threshold(*before)
+
+
 MINUTES = "HashOwner,HashApp,HashFunction,Trigger," + ",".join(map(str, range(1, 1441)))
 
 
