Read sockets in small pieces: 256 KB buffers left the heap in pieces that grew

Ruled out: Python objects (tracemalloc flat), the rows, copies and timers (counted, flat), mapped blocks (800 KB).

Transports now read 16 KB from clients and the name server and 32 KB from runners. The receive buffer of the listener, which bounded a flood's reads, is not needed any more and is left to the system.

--- a/maplestile/invoke/http.py
+++ b/maplestile/invoke/http.py
@@ -10,9 +10,10 @@
 from maplestile.invoke.api import Api, HttpRequest
 from maplestile.invoke.operator import Operator
 from maplestile.invoke.problems import Response, problem
+from maplestile.net import reads
 
 log = logging.getLogger(__name__)
-READ_BYTES, HEAD_BYTES, AHEAD_BYTES = 65_536, 16_384, 262_144
+READ_BYTES, HEAD_BYTES, AHEAD_BYTES = 16_384, 16_384, 262_144
 WRITE_S = 10.0
 
 
@@ -41,6 +42,7 @@
             self.counters["invoke.turned_away"] += 1
             writer.transport.abort()
             return
+        reads.bound(writer.transport, READ_BYTES)
         self.connections += 1
         self.counters["invoke.connections"] += 1
         try:
--- a/maplestile/limits.py
+++ b/maplestile/limits.py
@@ -51,12 +51,12 @@
     # The name server: polled well inside the 1.5 s after which a change counts as told.
     names_poll_us: int = 250_000
     names_timeout_us: int = 150_000
+    names_read_bytes: int = 16 * KB  # a reply holds 8,000 at the most
     # The end: connections still come for 0.4 s after SIGTERM, requests on open ones for 0.2 s more.
     drain_least_us: int = 900_000
-    # A stream holds twice what is read at once, and what its socket held: for a client under 100 KB.
-    read_bytes: int = 64 * KB
+    # One read of a socket. A stream holds up to twice as much, so that a client has under 50 KB read ahead.
+    runner_read_bytes: int = 32 * KB
     client_read_bytes: int = 16 * KB
-    client_socket_bytes: int = 64 * KB
     max_retry_after_us: int = 1_000_000
 
     @classmethod
--- a/maplestile/net/names.py
+++ b/maplestile/net/names.py
@@ -9,6 +9,7 @@
 
 from maplestile.fleet import Address, Fleet
 from maplestile.limits import Limits
+from maplestile.net import reads
 from maplestile.wire import dns
 
 log = logging.getLogger(__name__)
@@ -67,6 +68,7 @@
                     self.transport, _ = await loop.create_datagram_endpoint(
                         lambda: self.socket, remote_addr=self.server
                     )
+                    reads.bound(self.transport, self.limits.names_read_bytes)
                 await self._poll()
                 failures = 0
             except (dns.DnsError, TimeoutError, OSError) as fault:
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -9,6 +9,7 @@
 
 from maplestile.core import Core, Outcome
 from maplestile.limits import Limits
+from maplestile.net import reads
 from maplestile.wire import jsonrpc as wire
 
 log = logging.getLogger(__name__)
@@ -42,8 +43,6 @@
         listener = socket.socket(family, kind, protocol)
         listener.setblocking(False)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # Connections inherit it: what a flooding client has in flight stays with the system.
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.limits.client_socket_bytes)
         listener.bind(local)
         limits = self.limits
         server = await asyncio.start_server(
@@ -59,6 +58,7 @@
             log.warning("client: turned away, %d connections are owed an answer", len(self.clients))
             writer.transport.abort()
             return
+        reads.bound(writer.transport, self.limits.client_read_bytes)
         client = Client(writer, self.core.clock())
         self.clients[client] = None
         self.counters["clients.connections"] += 1
--- a/maplestile/net/runners.py
+++ b/maplestile/net/runners.py
@@ -15,6 +15,7 @@
 from maplestile.fleet import Address, Fleet
 from maplestile.interface import Result, WorkerState
 from maplestile.limits import Limits
+from maplestile.net import reads
 from maplestile.wire import runner as wire
 
 log = logging.getLogger(__name__)
@@ -213,9 +214,10 @@
         try:
             async with asyncio.timeout(self.limits.connect_timeout_us / 1e6):
                 reader, writer = await asyncio.open_connection(
-                    *connection.runner.address, limit=self.limits.read_bytes
+                    *connection.runner.address, limit=self.limits.runner_read_bytes
                 )
             connection.writer, end = writer, Result.RESET
+            reads.bound(writer.transport, self.limits.runner_read_bytes)
             writer.transport.set_write_buffer_limits(high=0)
             self._flush(connection)
             lines = wire.Lines(self.limits.runner_line_bytes)
@@ -237,11 +239,11 @@
 
     async def _read(self, reader: asyncio.StreamReader, lines: wire.Lines) -> bytes:
         if not lines.rest:
-            return await reader.read(self.limits.read_bytes)
+            return await reader.read(self.limits.runner_read_bytes)
         # A line that was begun comes soon, or never: its writer stopped short, and all behind it waits.
         try:
             async with asyncio.timeout(self.limits.runner_line_us / 1e6):
-                return await reader.read(self.limits.read_bytes)
+                return await reader.read(self.limits.runner_read_bytes)
         except TimeoutError:
             raise wire.LineError("a line that does not go on") from None
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -5,6 +5,7 @@
 import socket
 import unittest
 from collections import Counter
+from typing import Any
 
 from maplestile.limits import Limits
 from maplestile.net.platform import Platform
@@ -48,6 +49,27 @@
         link = next(iter(self.front.clients)).writer.get_extra_info("socket")
         self.assertTrue(link.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
 
+    async def test_one_read_of_a_socket_is_bounded(self) -> None:
+        """What a client can have in memory, and the buffer that each read takes."""
+        sizes = list[int]()
+        _, writer = await self.connect()
+        async with asyncio.timeout(20):
+            while not self.front.clients:
+                await asyncio.sleep(0.005)
+            (client,) = self.front.clients
+            protocol: Any = client.writer.transport.get_protocol()
+            take = protocol.data_received
+
+            def noted(data: bytes) -> None:
+                sizes.append(len(data))
+                take(data)
+
+            protocol.data_received = noted
+            writer.write(b"Content-Length: 30000\r\n\r\n" + bytes(25_000))
+            while sum(sizes) < 25_000:
+                await asyncio.sleep(0.005)
+        self.assertLessEqual(max(sizes), LIMITS.client_read_bytes)
+
     async def test_check_is_ready_only_when_the_program_is(self) -> None:
         reader, writer = await self.connect()
         for self.ready in (False, True):
