Let a router that has just started presume the copies that others' calls have made

At fault: Dispatcher.send counts each function's first call as a load, and load_at holds all others at the cap of loads (may_load).

--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -238,6 +238,9 @@
         copy = row.copy(worker)
         if self.is_warm(row, worker): return True
         if copy.absent_us and self.now < copy.absent_us + self.keep_us: return False
+        # One that has just started knows of no copy, and must not hold calls until it has loaded what stands.
+        young = self.now < self.began_us + self.keep_us and not row.home
+        if young and worker is self.ranked(row)[0] and not copy.loading_us: return True
         return (self.set.dispatchers - 1) * row.heat / (HEAT_KEEPS * row.service_us) > PRESUMED * row.width
 
     def load_at(self, call: Call, fit: list[Worker], near: list[Worker]) -> Worker | None:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -216,6 +216,19 @@
     assert len(finals(d.run(8 * MS))) == 1  # and still before the client's time is up
 
 
+def test_one_that_has_just_started_holds_no_first_calls_for_loads_that_others_have_made() -> None:
+    d = Driver(settings(), WORKERS)
+    for call in range(6):
+        d.give(arrival(call, f"f{call}"))
+    sent = sends([a for _, a in d.log])
+    assert len(sent) > 2 and not d.dispatcher.loads  # two loads are the cap here
+    for send in sent:
+        d.give(ended(send.call, 0, send.worker, api.Result.OK))
+    d.run(30_000 * MS)  # from then on it knows what it has seen, and a new name's copy must be loaded
+    d.give(arrival(50, "new"))
+    assert len(d.dispatcher.loads) == 1
+
+
 def test_broken_connection_moves_no_home_and_counts_once_for_all_it_carried() -> None:
     d = Driver(settings(), WORKERS)
     home = served(d, 1, "f")
@@ -417,10 +430,14 @@
 def test_few_large_workers_may_load_many_functions_at_once() -> None:
     """On days with six workers of a thousand copies each a cap of two loads held most calls back."""
     d = Driver(settings(dispatchers=3, kind_memory_mb=(("k", 400_000.0),)), WORKERS)
+    small = Driver(settings(dispatchers=3), WORKERS)
+    for each in (d, small):  # long since started
+        served(each, 100, "old")
+        each.run(30_000 * MS)
+        each.log.clear()
     for call in range(10):
         d.give(arrival(call, f"f{call}"))
     assert len(sends([a for _, a in d.log])) == 5  # of four loads a worker, a third
-    small = Driver(settings(dispatchers=3), WORKERS)
     for call in range(10):
         small.give(arrival(call, f"f{call}"))
     assert len(sends([a for _, a in small.log])) == 2
