Bound requests of the invoke front in time, refuse large bodies at the head, make room

Seen by reading, after the platform's front had the same: Exchange._event bounded each read alone, so a byte every 29 s held a connection for good; _request read a body up to its bound before the 413, and told a client that waits for 100 Continue to send it; Http._serve turned everyone away while idle connections filled the cap; and closing on unread bytes had the system reset the connection, answer and all. Node._drain left as soon as nothing was owed in the core, which is some loop turns before the invoke front writes its last answer.

Now a request has 10 s from its first bytes (408), Content-Length is checked at the head, the connection idle longest makes room, what follows a refusal is read away for 1 s, and the drain looks once more.

--- a/maplestile/__main__.py
+++ b/maplestile/__main__.py
@@ -183,6 +183,7 @@
         until = clock() + self.limits.drain_least_us
         while clock() < until or self.core.open:
             await asyncio.sleep(DRAIN_LOOK_S)
+        await asyncio.sleep(DRAIN_LOOK_S)  # the invoke front has yet to write the last answers
         log.info("%s stops; nothing is owed", self.name)
 
     def print_counters(self) -> None:
--- a/maplestile/invoke/http.py
+++ b/maplestile/invoke/http.py
@@ -1,6 +1,7 @@
 """The invoke API's driver: HTTP/1.1 by h11 over asyncio streams."""
 
 import asyncio
+import contextlib
 import logging
 from collections import Counter
 from collections.abc import Callable
@@ -21,6 +22,10 @@
     """A body over the limit: it is not read to its end."""
 
 
+class TooSlow(Exception):
+    """A request that was begun and is not whole in its time."""
+
+
 class Left(Exception):
     """The client has gone."""
 
@@ -28,7 +33,9 @@
 class Http:
     def __init__(self, api: Api, counters: Counter[str], received: Callable[[], int]) -> None:
         self.api, self.counters, self.received = api, counters, received
+        self.limits = api.core.limits
         self.connections = 0
+        self.idle: dict[Exchange, None] = {}  # those with no request begun, the one silent longest first
 
     @property
     def operator(self) -> Operator:
@@ -38,8 +45,8 @@
         return await asyncio.start_server(self._serve, host, port, limit=READ_BYTES, backlog=512)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self.connections >= self.operator.connections:  # the descriptors are budgeted
-            self.counters["invoke.turned_away"] += 1
+        if self.connections >= self.operator.connections and not self._make_room():
+            self.counters["invoke.turned_away"] += 1  # the descriptors are budgeted
             writer.transport.abort()
             return
         reads.bound(writer.transport, READ_BYTES)
@@ -53,6 +60,15 @@
             self.connections -= 1
             writer.close()
 
+    def _make_room(self) -> bool:
+        """Guards against idle connections that lock out whoever has something to ask."""
+        if (oldest := next(iter(self.idle), None)) is None:
+            return False
+        self.counters["invoke.made_room"] += 1
+        del self.idle[oldest]
+        oldest.writer.close()
+        return True
+
 
 class Exchange:
     """One connection: request after request, each answered before the next is read."""
@@ -61,6 +77,7 @@
         self.http, self.reader, self.writer = http, reader, writer
         self.wire = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_BYTES)
         self.ahead = 0
+        self.due_s: float | None = None  # by when the request that was begun is to be whole
 
     async def run(self) -> None:
         while True:
@@ -68,14 +85,19 @@
                 request = await self._request()
             except TooLarge:
                 detail = f"the body is over {self.http.operator.body_bytes} bytes"
-                await self._write(problem(413, detail), True)
+                await self._refuse(problem(413, detail))
+                return
+            except TooSlow:
+                self.http.counters["invoke.too_slow"] += 1
+                log.warning("invoke client: a request not whole in time; connection closed")
+                await self._refuse(problem(408, "the request was not whole in time"))
                 return
             except h11.RemoteProtocolError as fault:
                 self.http.counters["invoke.malformed"] += 1
                 log.warning("invoke client: %s; connection closed", fault)
                 if self.wire.our_state in (h11.IDLE, h11.SEND_RESPONSE):
                     status = fault.error_status_hint
-                    await self._write(problem(status, str(fault)), True)
+                    await self._refuse(problem(status, str(fault)))
                 return
             if request is None:
                 return
@@ -89,22 +111,43 @@
             if self.wire.they_are_waiting_for_100_continue:
                 go_on = h11.InformationalResponse(status_code=100, headers=[])
                 self.writer.write(self.wire.send(go_on) or b"")
+            self.wire.receive_data(await (self._begun() if self.due_s is None else self._more(self.due_s)))
+        return event
+
+    async def _begun(self) -> bytes:
+        """The first bytes of a request: the client may take its time, and may have to make room."""
+        self.http.idle[self] = None
+        try:
             async with asyncio.timeout(self.http.operator.idle_s):
                 data = await self.reader.read(READ_BYTES)
-            self.wire.receive_data(data)
-        return event
+        finally:
+            self.http.idle.pop(self, None)
+        self.due_s = asyncio.get_running_loop().time() + self.http.limits.http_request_us / 1e6
+        return data
+
+    async def _more(self, due_s: float) -> bytes:
+        """Guards the descriptors against requests that come a byte at a time, for ever."""
+        try:
+            async with asyncio.timeout_at(due_s):
+                return await self.reader.read(READ_BYTES)
+        except TimeoutError:
+            raise TooSlow from None
 
     async def _request(self) -> HttpRequest | None:
         event = await self._event()
         if not isinstance(event, h11.Request):
             return None
         head, body = event, bytearray()
+        told = dict(head.headers).get(b"content-length", b"0")  # digits, as h11 has checked
+        if len(told) > 18 or int(told) > self.http.operator.body_bytes:
+            raise TooLarge  # before it is asked to go on, or read
         while isinstance(event := await self._event(), h11.Data):
             body += event.data
             if len(body) > self.http.operator.body_bytes:
                 raise TooLarge
         if not isinstance(event, h11.EndOfMessage):
             return None
+        self.due_s = None
         headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
         return HttpRequest(
             head.method.decode(), head.target.decode("latin-1"), headers, bytes(body), self.http.received()
@@ -137,6 +180,16 @@
             if not answer.done():
                 leave()
 
+    async def _refuse(self, response: Response) -> None:
+        """Answer and close. What still comes is read away for a moment: the system answers bytes that nobody
+        reads with a reset, which would take the answer along."""
+        await self._write(response, True)
+        self.writer.write_eof()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.http.limits.http_linger_us / 1e6):
+                while await self.reader.read(READ_BYTES):
+                    pass
+
     async def _write(self, response: Response, close: bool) -> None:
         length = [] if response.status == 204 else [("Content-Length", str(len(response.body)))]
         headers = [*response.headers, *length, *([("Connection", "close")] if close else [])]
--- a/maplestile/limits.py
+++ b/maplestile/limits.py
@@ -31,6 +31,9 @@
     body_bytes: int = 16 * KB
     head_bytes: int = 1 * KB
     message_bytes: int = 32 * KB
+    # The invoke front: for a whole request from its first bytes, and to read away what follows a refusal.
+    http_request_us: int = 10_000_000
+    http_linger_us: int = 1_000_000
     # Runners.
     runner_connections: int = 480
     runner_streams: int = 32
--- a/tests/test_process_invoke.py
+++ b/tests/test_process_invoke.py
@@ -3,6 +3,7 @@
 import base64
 import http.client
 import json
+import socket
 import tempfile
 import unittest
 from pathlib import Path
@@ -108,6 +109,29 @@
         self.assertEqual(self.program.counters()["invoke.connections"], 1)
         self.assertFalse([line for line in self.program.log if "Error" in line])
 
+    def raw(self, data: bytes) -> socket.socket:
+        link = socket.create_connection(("127.0.0.1", self.port), timeout=20)
+        self.addCleanup(link.close)
+        link.sendall(data)
+        return link
+
+    def test_oversized_body_is_refused_at_its_head_and_the_answer_is_not_lost(self) -> None:
+        path = b"/v1/functions/score-bangla/invocations"
+        head = b"POST " + path + b" HTTP/1.1\r\nHost: h\r\nContent-Length: 60000000\r\n"
+        for more in (b"Expect: 100-continue\r\n\r\n", b"\r\n" + b"x" * 100_000):
+            self.assertTrue(self.raw(head + more).recv(100).startswith(b"HTTP/1.1 413 "))
+
+    def test_idle_connection_makes_room_for_one_that_asks(self) -> None:
+        self.program.reload(lambda text: text.replace("[limits]", "[limits]\nconnections = 2", 1))
+        silent = self.raw(b"")
+        eventually(lambda: self.program.counters().get("invoke.connections") == 1, "the silent one")
+        asked = self.raw(b"POST /v1/functions/score-bangla/invocations HTTP/1.1\r\nHost: h\r\nContent-Le")
+        eventually(lambda: self.program.counters().get("invoke.connections") == 2, "the slow one")
+        self.assertEqual(self.post("score-bangla", b"abc")[:2], (200, b"cba"))
+        self.assertEqual(silent.recv(1), b"")  # and the one that has begun to ask may end it
+        asked.sendall(b"ngth: 3\r\nMaplestile-Tenant: shapla-tutors\r\n\r\nabc")
+        self.assertTrue(asked.recv(100).startswith(b"HTTP/1.1 200 "))
+
     def test_mistakes_are_told_as_problems(self) -> None:
         for answer, status in (
             (self.post("nobody", b""), 404), (self.post("score-bangla", b"", Maplestile_Tenant="x"), 400),
