--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -358,7 +358,7 @@
         worker.sends.add(self.now, self.work.get(call.kind.name, row.service_us))
         self.out.append(api.Send(call.id, worker.entry.worker, max(1, call.due_us - self.now)))
         patience_us = SILENT_SERVICES * self.expected(call) + (row.load_us if loads else 0)
-        if self.now + patience_us >= call.due_us: return
+        if self.now + patience_us >= call.due_us: return  # over by then: a timer would only hold the call
         self.timer(patience_us, lambda: self.on_silent(call, attempt))
 
     def expected(self, call: Call) -> float:
@@ -506,7 +506,6 @@
             if home is None or row.copy(home).busy or not self.is_warm(row, home): continue
             if self.now >= row.copy(home).used_us + HOLD_LEAD * self.keep_us: self.order(row, home, True)
 
-
     def move(self, row: Row) -> None:
         """Its home drains: have the copy loaded at the next seat before calls wait for it there."""
         seat = next(iter(self.ranked(row)), None)
