Give a function seats by its share of the work alone, whatever the number of routers

The functions drawn most stood at 9 to 16 workers, where two or three could carry them.

Cause: `width` divided by SEAT + SEAT_SEEN / dispatchers: 0.32 of a mean worker's load with three routers, 0.16 with forty. Copies doubled with the number of routers.

One figure, 0.33, is what three routers have used all along; SEAT_SEEN is gone.

--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -22,9 +22,8 @@
 SERVICE_AIMS, LOAD_AIMS = 0.25, 1.0  # of the aim: service and load times until some were seen
 LEARN = 0.2  # share of a new sample in every running mean: about the last ten samples count
 HEAT_KEEPS, PRIOR_CALLS = 1.5, 15.0  # keep-alives in which heat halves; other calls assumed at the start
-SEAT, SEAT_FILL = 0.15, 0.5  # a function's most at a seat: of a mean worker's load, of the lanes by the fleet
+SEAT, SEAT_FILL = 0.33, 0.5  # a function's most at a seat: of a mean worker's load, of the lanes by the fleet
 NEAR = 8  # workers looked at when no drawn seat fits
-SEAT_SEEN = 0.5  # added, over the dispatchers: few of them see the load in their own calls, and need less
 OVERFLOW, CHOICES = 2, 3  # workers past the seats that an overflow may reach; seats drawn for one choice
 PRESUMED = 2.0  # calls of the other dispatchers expected at a seat in one keep-alive, to presume a copy there
 HOLD_SHARE = 0.5  # of the fleet's memory: what all caching lists may hold, the rest is for working copies
@@ -160,8 +159,7 @@
         """A function's seats, by its share of own calls but this: at scale no dispatcher fills the lanes."""
         share = max(0.0, row.heat - row.service_us) / (self.heat + PRIOR_CALLS * row.service_us)
         fill = self.set.dispatchers * self.rate() / (SEAT_FILL * row.lanes)
-        seat = SEAT + SEAT_SEEN / max(1, self.set.dispatchers)
-        return min(len(row.ranking), round(max(1.0, share * len(row.ranking) / seat, share * fill)))
+        return min(len(row.ranking), round(max(1.0, share * len(row.ranking) / SEAT, share * fill)))
 
     def rate(self) -> float:
         return self.heat / min(self.now - self.began_us + SPELL_US, HEAT_KEEPS * self.keep_us / math.log(2))
