Leave a zone that falls silent as a whole, and refuse no calls because of silence

Each second some 150 calls were sent a second time and 100 connects timed out until the end of the loss: a router takes 12 calls a second and learns of one dead worker a call. From 10 s on up to 390 of 700 calls a second were refused at once, and still 130 a second 6 s after the zone was back, while calls that were served took no longer than before (210 ms against 155): no overload.

Causes: suspicion is kept worker by worker alone (`on_silent`, `suspect`); `learn_late` took calls that no worker ever answered, and their second copies, for signs of too much work.

Change: three workers of a zone silent and none of it heard since those calls went out: the zone leaves the rankings, and gets two probes a second until one of it answers. The late share takes no sample of a call whose worker nobody heard since.

--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -1,6 +1,4 @@
-"""Every decision of maplestile; the types it takes and returns stand in maplestile/interface.py.
-
-ADC's mechanism (paper, section 3) as the design page turns it; docs/design.md says what was added and why."""
+"""Every decision of maplestile, by ADC and docs/design.md; its types stand in maplestile/interface.py."""
 
 import hashlib
 import math
@@ -9,9 +7,10 @@
 
 from maplestile import interface as api
 from maplestile.interface import Effect, ListKind, Result, Scope, Warmth, WorkerState
-from maplestile.state import CACHING, MULTIPLE, NOWHERE, SINGLE, Attempt, Call, Copy, Row, Window, Worker
+from maplestile.state import CACHING, MULTIPLE, SINGLE, Attempt, Call, Copy, Row, Window, Worker, Zone
 
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)  # the wire's proofs
+ANSWERS = (Result.OK, Result.ERROR, Result.FULL, Result.MISS, Result.MOOT)  # a worker's own word
 ELSEWHERE = (Result.MISS, Result.FULL)  # these say nothing against a further try at the same worker
 BAD = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED)  # symptoms of an unwell worker
 ANSWER_TICKS, ANSWER_US = 2, 120_000  # before the budget's end, at which the last answer goes out: a busy
@@ -36,6 +35,7 @@
 SICK_RESET, RESET_TICKS = 0.2, 2  # the same for a broken connection; ticks in which its ends count as one
 UNKNOWN_ERRORS = 3  # of a function that was never served: they tell of its name, and of no worker
 SICK_KEEPS = 0.7  # keep-alives in which a suspicion halves without news; then calls try the worker again
+LOST_WORKERS, LOST_PROBE_US = 3, 500_000  # silent ones of a zone that nobody answers from; between probes
 SLOW_MOVES = 2.0  # times the expected service time from which an answer sends the home elsewhere
 RETRY_SHARE, RETRY_BURST = 0.3, 20.0  # further attempts that a call earns, against storms; most saved
 RAMP_SAFETY = 0.45  # of the rule's limit that the fleet's sends to a cold worker may fill on the mean
@@ -59,6 +59,7 @@
         self.rows: dict[str, Row] = {}
         self.lists: tuple[dict[str, Row], ...] = ({}, {}, {})
         self.workers: dict[str, Worker] = {}
+        self.zones: dict[str, Zone] = {}
         self.calls: dict[int, Call] = {}
         self.attempts: dict[tuple[int, int], tuple[Call, Attempt]] = {}
         self.timers: dict[int, Callable[[], object]] = {}
@@ -75,6 +76,8 @@
             case api.CallArrived(): self.on_arrival(event)
             case api.AttemptEnded(): self.on_ended(event)
             case api.OrderEnded(): self.on_order_ended(event)
+            case api.ProbeEnded() if event.result is Result.OK and event.worker in self.workers:
+                self.heard(self.workers[event.worker].entry.zone)
             case api.TimerDue(): self.timers.pop(event.token, lambda: None)()
             case api.WorkerList(): self.on_list(event)
             case api.CallExpired(): self.close(self.calls.get(event.call))
@@ -97,7 +100,7 @@
             fleet = sum(self.memory.get(w.entry.kind, 0.0) for w in self.workers.values())
             known = [r.memory_mb for r in self.rows.values() if r.memory_mb > 0]
             self.capacity = max(1, int(HOLD_SHARE * fleet * len(known) / sum(known) if known else 0))
-        if row.place == NOWHERE or not (row.place == CACHING or self.rises(row, row.place + 1)):
+        if not row.listed() or not (row.place == CACHING or self.rises(row, row.place + 1)):
             self.settle(row, max(SINGLE, row.place))
 
     def rises(self, row: Row, place: int) -> bool:
@@ -110,7 +113,7 @@
         return True
 
     def settle(self, row: Row, place: int) -> None:
-        if row.place != NOWHERE: del self.lists[row.place][row.function]
+        if row.listed(): del self.lists[row.place][row.function]
         row.place, self.lists[place][row.function] = place, row
         if len(self.lists[SINGLE]) > SINGLE_ROWS * self.capacity:
             oldest = next(iter(self.lists[SINGLE].values()))
@@ -138,6 +141,7 @@
             # A restarted worker is a new record: it is empty, and its old symptoms say nothing of it.
             if known is None or entry.started_us > known.entry.started_us:
                 known = Worker(entry, Window(self.set.fall_us), digest(entry.worker))
+                self.heard(entry.zone)  # one that has come up there is news of life
             known.entry = entry
             self.workers[entry.worker] = known
         self.loads = {c: w for c, w in self.loads.items() if self.workers.get(w.entry.worker) is w}
@@ -149,7 +153,8 @@
         """Weighted rendezvous hashing of function and worker: no seed, so all dispatchers share it."""
         if row.version != self.version:
             row.version, before = self.version, row.ranking[: row.width]
-            running = [w for w in self.workers.values() if self.running(w)]
+            listed = [w for w in self.workers.values() if self.running(w)]
+            running = [w for w in listed if not self.zones[w.entry.zone].lost] or listed
             row.ranking = sorted(running, key=lambda w: mixed(row.salt, w.salt) / max(w.entry.weight, 1e-6))
             for seat in row.ranking[: row.width] if before else []:
                 if seat not in before: row.copy(seat).seated_us = self.listed_us
@@ -198,9 +203,8 @@
     def hold(self, call: Call) -> None:
         call.row.waiting[call.id] = call
         late = self.now > call.since_us + call.kind.aim_us and self.may_refuse(call)
-        # Where it may go nowhere any more, waiting brings no worker.
         lost = call.attempts and not any(self.repeatable(call, w) for w in self.workers.values())
-        if late or lost: self.finish(call)
+        if late or lost: self.finish(call)  # where it may go nowhere any more, waiting brings no worker
         elif self.now >= call.row.retry_us:  # one timer a row: held calls must not storm the module
             awaited_us = max(HELD_SERVICES * call.row.service_us, HELD_LOADS * call.row.load_us)
             wait_us = int(max(PAUSE_US, awaited_us))
@@ -298,9 +302,8 @@
     def repeatable(self, call: Call, worker: Worker) -> bool:
         """Rule 1: where a call that went out before may ever go again."""
         ran = [a for a in call.attempts if a.result not in NEVER_RAN]
-        # A connection that broke says little of the worker, whose copy stands: it may be met once more.
         met = [a.result for a in call.attempts if a.worker is worker and a.result not in ELSEWHERE]
-        tried = met and met != [Result.RESET]
+        tried = met and met != [Result.RESET]  # a connection that broke says little of the worker
         if tried or len(call.attempts) >= self.set.max_attempts or not self.running(worker): return False
         return not ran or call.kind.effect is Effect.SAFE or self.drops(call, ran, worker.entry)
 
@@ -312,9 +315,8 @@
         return kept and (same or kind.scope is Scope.ALL)
 
     def ramp_allows(self, worker: Worker, call: Call) -> bool:
-        """Rule 4 for the fleet: each dispatcher lets a random part of its calls through, the part of a warm
-        worker's flow that the cold one can surely take, and no more than its own share of that plus one call.
-        A call turned away elsewhere stays with the warm: a storm of further attempts would land here."""
+        """Rule 4 for the fleet: each dispatcher lets a random part of its calls through, and no more than its
+        share plus one call. One turned away elsewhere stays with the warm: a storm of them would come."""
         age_us = self.now - worker.entry.started_us
         if not worker.entry.started_us or age_us >= self.set.cold_us: return True
         # The share of its capacity that it surely has: it rises evenly at the slowest.
@@ -369,6 +371,9 @@
         row, worker = call.row, attempt.worker
         copy, attempt.result = row.copy(worker), event.result
         for busy in (copy, row, worker): busy.busy -= 1
+        if event.result in ANSWERS: self.heard(worker.entry.zone)
+        elif event.result is Result.CONNECT_FAILED and event.elapsed_us >= self.set.connect_timeout_us > 0:
+            self.quiet(attempt)
         self.judge(call, attempt, event)
         if event.result is Result.OK: self.learn(call, attempt, event)
         elif event.result is Result.MISS or event.warmth is Warmth.LOAD_FAILED:
@@ -402,6 +407,8 @@
         row.home = "" if slow else worker.entry.worker
 
     def learn_late(self, call: Call, late: bool) -> None:
+        # What silent workers made late tells of these, and of no overload.
+        if any(a.result not in ANSWERS and self.unheard(a) for a in call.attempts): return
         self.late += min(LATE_LEARN, call.row.service_us / (LATE_US * self.rate())) * (late - self.late)
 
     def again(self, call: Call, result: Result) -> None:
@@ -430,8 +437,10 @@
     def on_silent(self, call: Call, attempt: Attempt) -> None:
         """No answer in several expected times, perhaps to anybody: it hangs or is slow; move the call."""
         if attempt.result is not None or not call.open or call.streaming: return
-        silent = attempt.worker.heard_us.get(call.group, 0) <= attempt.sent_us
-        if silent: self.suspect(call, attempt.worker, SICK_STEP)
+        silent = self.unheard(attempt, call.group)
+        if silent:
+            self.suspect(call, attempt.worker, SICK_STEP)
+            self.quiet(attempt)
         if self.retries < 1.0 or call.kind.effect is Effect.UNSAFE: return
         if self.set.may_duplicate and len(call.outstanding()) < 2:
             self.retries -= 1.0
@@ -439,6 +448,27 @@
         elif self.set.may_cancel and silent and not self.set.may_duplicate:
             self.out.append(api.Cancel(call.id, attempt.number))
 
+    def unheard(self, attempt: Attempt, group: str = "") -> bool:
+        return attempt.worker.heard_us.get(group, 0) <= attempt.sent_us
+
+    def quiet(self, attempt: Attempt) -> None:
+        """Guards calls against a zone lost as a whole: one by one its workers cost a call each."""
+        zone = self.zones[attempt.worker.entry.zone]
+        if zone.heard_us > attempt.sent_us or not self.set.may_probe: return
+        zone.silent.add(attempt.worker.entry.worker)
+        self.turn(zone)
+
+    def heard(self, name: str) -> None:
+        zone = self.zones.setdefault(name, Zone(name))
+        zone.heard_us = self.now
+        zone.silent.clear()
+        self.turn(zone)
+
+    def turn(self, zone: Zone) -> None:
+        if zone.lost != (len(zone.silent) >= LOST_WORKERS):
+            zone.lost, self.listed_us, self.version = not zone.lost, self.now, self.version + 1
+            self.out.append(api.Log(f"zone {zone.name} {'is silent' if zone.lost else 'is heard again'}"))
+
     def finish(self, call: Call) -> None:
         if not call.open or call.streaming: return
         if self.now >= min(call.due_us, call.since_us + call.kind.aim_us): self.learn_late(call, True)
@@ -472,13 +502,12 @@
         elif event.result in BAD and event.warmth is not Warmth.LOAD_FAILED:
             self.suspect(call, worker, SICK_STEP)
         elif event.result is Result.RESET and self.now >= worker.reset_us + RESET_TICKS * self.set.tick_us:
-            # One broken connection is one symptom, whatever it carried, and as likely the network's; its
-            # copies stand. Where the worker has gone, the next connect fails.
+            # One symptom, whatever it carried, and as likely the network's; its copies stand.
             worker.reset_us = self.now
             self.suspect(call, worker, SICK_RESET)
         elif event.result is Result.OK:
             call.row.good, call.row.errors = True, 0
-            worker.heard_us[call.group] = self.now
+            worker.heard_us[call.group] = worker.heard_us[""] = self.now
             for told in (worker.fulls, worker.sick): told.pop(call.group, None)
             worker.sick.pop("", None)
 
@@ -496,6 +525,11 @@
 
     def sweep(self) -> None:
         self.timer(self.keep_us / SWEEPS, self.sweep)
+        for name, zone in self.zones.items():
+            there = [w for w in self.workers.values() if w.entry.zone == name and self.running(w)]
+            if zone.lost and there and self.now >= zone.probe_us:
+                zone.probe_us = self.now + LOST_PROBE_US
+                self.out.append(api.Probe(self.random.choice(there).entry.worker))
         draining = {name for name, w in self.workers.items() if not self.running(w)}
         for row in [*self.lists[CACHING].values(), *self.lists[MULTIPLE].values()] if draining else []:
             if row.home in draining: self.move(row)
--- a/maplestile/state.py
+++ b/maplestile/state.py
@@ -67,6 +67,17 @@
     result: Result | None = None
 
 
+@dataclass(slots=True, eq=False)
+class Zone:
+    """What its workers have in common: when one of them was heard, and who fell silent since."""
+
+    name: str
+    heard_us: int = 0
+    lost: bool = False
+    probe_us: int = 0  # the next probe, while lost
+    silent: set[str] = field(default_factory=set)
+
+
 @dataclass(slots=True, eq=False)
 class Row:
     """One function: the list it stands in, its gap, its share of the work, its home and its ranking."""
@@ -92,6 +103,9 @@
     ranking: list[Worker] = field(default_factory=list)
     waiting: dict[int, "Call"] = field(default_factory=dict)
 
+    def listed(self) -> bool:
+        return self.place != NOWHERE
+
     def copy(self, worker: Worker) -> Copy:
         copy = worker.copies.get(self.function)
         if copy is None:
--- a/tests/test_many_routers.py
+++ b/tests/test_many_routers.py
@@ -18,3 +18,58 @@
                     used.add(send.worker)
                 d.give(ended(call, 0, send.worker, api.Result.OK))
     assert 2 <= len(used) <= 6
+
+
+def answer(d: Driver, send: api.Send, result: api.Result = api.Result.OK) -> list[api.Action]:
+    """The end of a send's attempt, whichever of its call that is; the actions that it brings about."""
+    numbers = [n for c, n in d.dispatcher.attempts if c == send.call]
+    return d.give(ended(send.call, max(numbers), send.worker, result, 50 * MS)) if numbers else []
+
+
+def zoned(workers: int) -> list[api.WorkerEntry]:
+    return [entry(f"w{i}", zone=f"z{i % 3}") for i in range(workers)]
+
+
+def test_zone_that_falls_silent_is_left_after_a_few_calls_and_met_again_after_one_probe() -> None:
+    """A router of many meets each worker rarely: it sent into a lost zone for as long as it lasted."""
+    told = settings(dispatchers=40, may_probe=True)
+    sent, probes = 0, 0
+    for seed in range(20):
+        d = Driver(told, zoned(36), seed)
+        for call in range(200):
+            done = d.run(80 * MS) + d.give(arrival(call, f"f{call % 20}"))
+            for send in sends(done):
+                lost = int(send.worker[1:]) % 3 == 0
+                sent += lost
+                if not lost:
+                    answer(d, send)
+        probed = [a for _, a in d.log if isinstance(a, api.Probe)]
+        probes += len(probed)
+        assert probed and all(int(a.worker[1:]) % 3 == 0 for a in probed)
+        d.give(api.ProbeEnded(probed[-1].worker, api.Result.OK, MS, ()))
+        assert any(int(w.entry.worker[1:]) % 3 == 0 for w in d.dispatcher.ranked(d.dispatcher.rows["f1"]))
+    assert sent <= 20 * 40  # of 1,333 that fall to the zone
+    assert probes <= 20 * 34  # two a second
+
+
+def test_hung_workers_in_zones_that_answer_lose_no_zone() -> None:
+    d = Driver(settings(dispatchers=40, may_probe=True), zoned(36))
+    for call in range(300):
+        done = d.run(80 * MS) + d.give(arrival(call, f"f{call % 30}"))
+        for send in sends(done):
+            if int(send.worker[1:]) > 5:  # two of each zone hang
+                answer(d, send)
+    assert not any(zone.lost for zone in d.dispatcher.zones.values())
+
+
+def test_silent_workers_are_no_overload() -> None:
+    """Calls that a lost zone made late had others refused, and for seconds after it was back."""
+    d = Driver(settings(dispatchers=40), zoned(36))
+    refused = 0
+    for call in range(300):
+        done = d.run(80 * MS) + d.give(arrival(call, f"f{call % 30}", budget_us=1_200 * MS))
+        refused += sum(isinstance(a, api.Refuse) and a.call == call for a in done)
+        for send in sends(done):
+            if int(send.worker[1:]) > 17:
+                answer(d, send)
+    assert not refused
