Keep idle connections when a runner goes, and take the seats of the own zone first

Most closes were idle ones, under a learned rest (`Runners.keep_us`) fallen from 12 s to between 0.05 and 1.4 s.

Causes: `_rested_too_long` took each break at the first request after a rest for a way that drops idle connections; a runner that went, or a zone that came back cold, breaks just so. And `choose` drew from all seats of a function alike.

Seats of the own zone are drawn first where a function has any.

--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -220,6 +220,7 @@
         row, ranked, home = call.row, self.ranked(call.row), self.workers.get(call.row.home)
         width = self.width(row)
         seats, near = ranked[:width], ranked[: width + OVERFLOW]
+        seats = [w for w in seats if w.entry.zone == self.set.zone] or seats
         if width > NEAR: near = self.random.sample(near, NEAR)  # all seats of a hot function cost too much
         # As seats are added a part of the homes moves there: all dispatchers' first calls went to the first.
         grown = self.random.random() * width > row.width
--- a/maplestile/net/runners.py
+++ b/maplestile/net/runners.py
@@ -20,6 +20,8 @@
 
 log = logging.getLogger(__name__)
 REST_PART = 0.8  # of the rest that broke a connection: how long the next ones may rest
+REST_BORNE = 3  # answers after a rest as long, of late, by which a break is none of the rest's
+RESTS = 64  # answers after a rest that are remembered
 TURNED = 64  # tags that a connection remembers as turned away
 
 
@@ -79,6 +81,7 @@
         # How long a connection may rest and still carry a request: learned, since some way along may drop it
         # sooner than the settings tell, and says so only when the next request comes.
         self.keep_us, self.kept_us = limits.runner_idle_us, 0
+        self.borne: deque[tuple[int, int]] = deque(maxlen=RESTS)  # when a rest was borne, and how long it was
 
     # The list.
 
@@ -223,6 +226,8 @@
             lines = wire.Lines(self.limits.runner_line_bytes)
             while data := await self._read(reader, lines):
                 connection.used_us = connection.heard_us = self.clock()
+                if connection.rested_us:
+                    self.borne.append((connection.heard_us, connection.rested_us))
                 connection.rested_us = 0
                 connection.doubtful = False
                 for line in lines.feed(data):
@@ -342,10 +347,14 @@
 
     def _rested_too_long(self, connection: Connection) -> None:
         """It broke at the first request after a rest, before it was heard, and where that came at once the
-        rest is to blame."""
+        rest is to blame; unless others have borne such a rest of late: then that runner went, or its zone."""
         now, least_us = self.clock(), self.limits.runner_rest_least_us
         if now - connection.used_us > least_us:
             return
+        since_us = now - self.limits.runner_rest_us
+        if sum(at > since_us and rest >= connection.rested_us for at, rest in self.borne) >= REST_BORNE:
+            self.counters["runners.broke_after_rest"] += 1
+            return
         self.counters["runners.rested_too_long"] += 1
         self.keep_us = max(least_us, min(self.keep_us, int(REST_PART * connection.rested_us)))
         self.kept_us = now
--- a/tests/test_many_routers.py
+++ b/tests/test_many_routers.py
@@ -95,3 +95,20 @@
         for send in sends(d.run(80 * MS) + d.give(arrival(call, f"f{call}"))):
             answer(d, send)
     assert d.dispatcher.late < 0.25
+
+
+def test_seats_of_the_own_zone_come_first_and_all_zones_together_use_all_seats() -> None:
+    used = dict[str, set[str]]()
+    for zone in ("z0", "z1", "z2"):
+        used[zone] = set()
+        for seed in range(6):
+            d = Driver(settings(dispatchers=18, zone=zone), zoned(36), seed)
+            for call in range(60):
+                done = d.run(80 * MS) + d.give(arrival(call, "hot" if call % 2 else f"rare-{call}"))
+                for send in sends(done):
+                    if d.dispatcher.calls[send.call].row.function == "hot" and call > 20:
+                        used[zone].add(send.worker)
+                    answer(d, send)
+    for zone, workers in used.items():
+        assert {f"z{int(w[1:]) % 3}" for w in workers} == {zone}
+    assert len(set.union(*used.values())) > 12
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -88,6 +88,17 @@
             self.pool.sweep()
         self.assertEqual(self.pool.keep_us, 5_000_000)
 
+    async def test_rest_that_others_bore_of_late_is_not_blamed_for_a_break(self) -> None:
+        """One runner that goes had a router of many close all its idle connections, and shake hands anew."""
+        for n in range(5):
+            self.send(n, b"abc")
+            await self.until(n)
+            self.now += 1_000_000
+        self.send(9, b"die")
+        await self.until(9)
+        self.assertEqual(self.pool.keep_us, 5_000_000)
+        self.assertEqual(self.counters["runners.broke_after_rest"], 1)
+
     async def test_restarted_runner_is_not_spoken_to_on_an_old_connection(self) -> None:
         self.send(1, b"hang:")
         self.send(2, b"abc")
