Spend less of the hot path on zones

`heard` made a zone's record at each answer only to drop it, and `choose` sought the seats of the own zone also for calls that stay at their home.

--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -219,13 +219,13 @@
         row, ranked, home = call.row, self.ranked(call.row), self.workers.get(call.row.home)
         width = self.width(row)
         seats, near = ranked[:width], ranked[: width + OVERFLOW]
-        seats = [w for w in seats if w.entry.zone == self.set.zone] or seats
         if width > NEAR: near = self.random.sample(near, NEAR)  # all seats of a hot function cost too much
         # As seats are added a part of the homes moves there: all dispatchers' first calls went to the first.
         grown = self.random.random() * width > row.width
         known = home is not None and not grown and home in ranked[: 2 * width - 1]
         if home is not None and known and not row.copy(home).busy and self.fits(call, home): return home
         row.width = max(width, known * row.width)
+        seats = [w for w in seats if w.entry.zone == self.set.zone] or seats
         drawn = seats and self.random.choices(seats, [w.entry.weight for w in seats], k=CHOICES)
         drawn = [*(near if call.attempts else drawn), *([home] if home is not None and known else [])]
         fits = {w: self.fits(call, w) for w in dict.fromkeys(drawn)}  # the same ones are drawn often
@@ -462,7 +462,7 @@
         self.turn(zone)
 
     def heard(self, name: str) -> None:
-        zone = self.zones.setdefault(name, Zone(name))
+        zone = self.zones.get(name) or self.zones.setdefault(name, Zone(name))
         zone.heard_us = self.now
         zone.silent.clear()
         self.turn(zone)
@@ -532,11 +532,10 @@
 
     def sweep(self) -> None:
         self.timer(self.keep_us / SWEEPS, self.sweep)
-        for name, zone in self.zones.items():
-            there = [w for w in self.workers.values() if w.entry.zone == name and self.running(w)]
-            if zone.lost and there and self.now >= zone.probe_us:
-                zone.probe_us = self.now + LOST_PROBE_US
-                self.out.append(api.Probe(self.random.choice(there).entry.worker))
+        for zone in [z for z in self.zones.values() if z.lost and self.now >= z.probe_us]:
+            zone.probe_us = self.now + LOST_PROBE_US
+            there = [w for w in self.workers.values() if w.entry.zone == zone.name and self.running(w)]
+            if there: self.out.append(api.Probe(self.random.choice(there).entry.worker))
         draining = {name for name, w in self.workers.items() if not self.running(w)}
         for row in [*self.lists[CACHING].values(), *self.lists[MULTIPLE].values()] if draining else []:
             if row.home in draining: self.move(row)
