Ask for hosts that an answer of the name server does not hold together, not one by one

Need: sixty workers do not fit one answer of 8,000 bytes; the addresses and texts of the rest were asked for one after the other (`Names._poll`), and each lost reply kept the whole list back by 150 ms, four tries each.

Change: 16 queries at a time; a list that cannot be completed still replaces nothing.

--- a/maplestile/net/names.py
+++ b/maplestile/net/names.py
@@ -14,7 +14,7 @@
 
 log = logging.getLogger(__name__)
 LIST_NAME = "_app._tcp.cluster.lan"
-HOST_TRIES = 4
+HOST_TRIES, HOSTS_AT_ONCE = 4, 16
 
 
 class Socket(asyncio.DatagramProtocol):
@@ -87,15 +87,28 @@
             raise dns.DnsError("a list without its serial")
         if reply.serial <= self.fleet.version:
             return
-        for name, kind in list(reply.lacking()):
-            host = reply.hosts.setdefault(name.lower(), dns.Host())
-            found = await self._ask_again(name, kind)
-            told = found.hosts.get(name.lower(), dns.Host())
-            host.address, host.texts = host.address or told.address, host.texts or told.texts
+        await self._complete(reply)
         if self.fleet.apply_whole(reply.serial, list(dns.entries(reply))):
             self.counters["names.lists"] += 1
             self.changed()
 
+    async def _complete(self, reply: dns.Reply) -> None:
+        """Ask for the hosts that one answer has no room for, some at once: one by one, each lost reply would
+        keep back the whole list by a time-out more, and drains are told in it."""
+        turns = asyncio.Semaphore(HOSTS_AT_ONCE)
+
+        async def fill(name: str, kind: int) -> None:
+            async with turns:
+                found = await self._ask_again(name, kind)
+            told = found.hosts.get(name.lower(), dns.Host())
+            host = reply.hosts.setdefault(name.lower(), dns.Host())
+            host.address, host.texts = host.address or told.address, host.texts or told.texts
+
+        ends = await asyncio.gather(*(fill(*lacking) for lacking in reply.lacking()), return_exceptions=True)
+        for fault in ends:  # an incomplete list never replaces a good one
+            if isinstance(fault, BaseException):
+                raise fault
+
     async def _ask_again(self, name: str, kind: int) -> dns.Reply:
         for _ in range(HOST_TRIES - 1):
             try:
