--- a/maplestile/__main__.py
+++ b/maplestile/__main__.py
@@ -20,13 +20,17 @@
 from maplestile.core import Core
 from maplestile.garbage import Collector
 from maplestile.interface import ListKind
+from maplestile.net.listen import Listener
 from maplestile.net.names import Names
 from maplestile.net.platform import Platform
 from maplestile.net.runners import Runners
 from maplestile.net.stamps import StampedSelector
+from maplestile.operation.handover import Stage
 
-if TYPE_CHECKING:  # the platform's nodes do not load the second front
+if TYPE_CHECKING:  # a process loads only the fronts that are set up
     from maplestile.invoke.api import Api
+    from maplestile.operation.bans import Bans
+    from maplestile.operation.handover import Handover
 
 log = logging.getLogger("maplestile")
 SWEEP_S, DRAIN_LOOK_S = 1.0, 0.02
@@ -53,11 +57,39 @@
         self.handle: asyncio.TimerHandle | None = None
         self.stopping = asyncio.Event()
         self.listening = False
+        self.began_us, self.live = clock(), 1
         self.api: Api | None = None
-        self.names: asyncio.Task[None] | None = None
+        self.names: Names | None = None
+        self.asking: asyncio.Task[None] | None = None
+        self.platform: Platform | None = None
+        self.bans: Bans | None = None
+        self.handover: Handover | None = None
+        self.current = False
 
     def _ready(self) -> bool:
-        return self.listening and bool(self.fleet.entries) and not self.stopping.is_set()
+        """To clients: the router serves, be it by the process that takes over."""
+        going = self.stopping.is_set() and not self._handing_over()
+        return self.listening and bool(self.fleet.entries) and not going
+
+    def _lacking(self) -> str:
+        """To operators: why this process cannot serve; empty if it can."""
+        if self.stopping.is_set():
+            return "it was asked to stop"
+        if not self._list_is_current():
+            return "the name server has not answered yet"
+        if not self.listening:
+            return "it does not listen yet"
+        return "" if self.fleet.entries else "no runner is listed"
+
+    def _list_is_current(self) -> bool:
+        """What the configuration knows of runners may be old, so the name server is heard first; a silent one
+        keeps nobody from serving for good."""
+        waited = clock() - self.began_us >= self.limits.names_wait_us
+        self.current = self.current or self.names is None or self.names.heard or waited
+        return self.current
+
+    def _handing_over(self) -> bool:
+        return self.handover is not None and self.handover.successor_ready
 
     def _alarm(self, due_us: int) -> None:
         if self.handle is not None:
@@ -65,10 +97,13 @@
         delay = max(0.0, (due_us - clock()) / 1e6)
         self.handle = asyncio.get_running_loop().call_later(delay, self.core.tick)
 
-    def _changed(self) -> None:
+    def _changed(self, kind: ListKind = ListKind.FULL) -> None:
+        if self.bans is not None:
+            self.bans.listed(self.fleet.entries)
+            self.fleet.suspended = self.bans.banned
         # The pool first: a decision on the new list must find its addresses and drains.
         self.runners.update(self.fleet)
-        self.core.list_changed(self.fleet.event())
+        self.core.list_changed(self.fleet.event(kind))
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -77,19 +112,22 @@
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.collector.start()
-        self.runners.update(self.fleet)
-        self.core.list_changed(self.fleet.event(ListKind.CACHED))
-        servers = await self._listen()
-        self.listening = True
-        sweep = self._start(self._sweep())
+        fronts = await self._operation()
+        self._changed(ListKind.CACHED)
+        parts = [self._start(self._sweep())]
         self._ask_names()
+        if self.handover is not None:
+            parts.append(self._start(self._follow(self.handover)))
+            await self._succeed(self.handover)
+        fronts += await self._listen()
+        self.listening = True
         await self.stopping.wait()
-        await self._drain()
-        for server in servers:
-            server.close()
-        for task in (sweep, self.names):
-            if task is not None:
-                task.cancel()
+        await self._drain(fronts)
+        for front in fronts:
+            front.close()
+        for part in (*parts, self.asking):
+            if part is not None:
+                part.cancel()
         self.collector.stop()
         self.print_counters()
 
@@ -100,12 +138,12 @@
 
     def _ask_names(self) -> None:
         """Ask the name server of the configuration from now on; queries to another one end."""
-        if self.names is not None:
-            self.names.cancel()
-            self.names = None
+        if self.asking is not None:
+            self.asking.cancel()
+            self.asking = self.names = None
         if (server := self.config.dns) is not None:
-            names = Names(server, self.fleet, self.limits, self.counters, self._changed)
-            self.names = self._start(names.run())
+            self.names = Names(server, self.fleet, self.limits, self.counters, self._changed)
+            self.asking = self._start(self.names.run())
 
     def reload(self) -> None:
         """SIGHUP: read the configuration again, whole, before anything of it is taken."""
@@ -143,27 +181,91 @@
             taken.append("invoke")
         return taken
 
-    async def _listen(self) -> list[asyncio.Server]:
-        servers = []
+    async def _listen(self) -> list[Listener]:
+        fronts = list[Listener]()
         if self.config.listen is not None:
-            platform = Platform(self.core, self.limits, self.counters, self._received, self._ready)
-            servers.append(await platform.start(*self.config.listen))
-            self._listens("platform", servers[-1])
+            self.platform = Platform(self.core, self.limits, self.counters, self._received, self._ready)
+            fronts.append(await self.platform.start(*self.config.listen, self.handover is not None))
+            self._listens("platform", fronts[-1])
         if (operator := self.config.operator) is not None:
             from maplestile.invoke.api import Api
-            from maplestile.invoke.http import Http
+            from maplestile.net.http import Http
 
             self.api = Api(self.core, operator, self.counters)
-            http = Http(self.api, self.counters, self._received)
-            servers.append(await http.start(*address(operator.listen)))
-            self._listens("invoke", servers[-1])
-        return servers
-
-    def _listens(self, front: str, server: asyncio.Server) -> None:
-        host, port = server.sockets[0].getsockname()[:2]
-        known = len(self.fleet.entries)
+            http = Http("invoke", self.api, self.counters, self._received)
+            fronts.append(await http.start(*address(operator.listen)))
+            self._listens("invoke", fronts[-1])
+        return fronts
+
+    async def _operation(self) -> list[Listener]:
+        """The operators' front, which answers before the others stand; and what is shared with the process
+        before this one."""
+        if self.config.operation is None:
+            return []
+        from maplestile.net.http import Http
+        from maplestile.operation.api import OperatorApi
+        from maplestile.operation.bans import Bans
+        from maplestile.operation.desk import Desk
+        from maplestile.operation.folder import Locks, Markers
+        from maplestile.operation.handover import Handover
+
+        folder = self.config.folder
+        markers = Markers(folder / "suspended") if folder is not None else None
+        self.bans = Bans(markers, self.limits, self.counters, self._changed)
+        self.bans.look()
+        # A router with an invoke front has records that another process would not know.
+        if folder is not None and self.config.operator is None:
+            try:
+                self.handover = Handover(Locks(folder))
+            except OSError as fault:
+                log.warning("%s cannot be replaced while it serves: %s", self.name, fault)
+        desk = Desk(self.core, self.fleet, self.bans, lambda: self.runners.calls_written, self._lacking)
+        http = Http("operator", OperatorApi(desk, self.limits), self.counters, self._received)
+        front = await http.start(*self.config.operation)
+        self._listens("operator", front)
+        return [front]
+
+    def _listens(self, front: str, listener: Listener) -> None:
+        (host, port), known = listener.address, len(self.fleet.entries)
         log.info("%s: %s front listens on %s:%d, %d runners known", self.name, front, host, port, known)
 
+    # Replacing the process.
+
+    async def _succeed(self, handover: "Handover") -> None:
+        """Where another process serves, clients are taken only once this one serves as well."""
+        if handover.stage is Stage.ALONE:
+            return
+        log.info("%s: another process serves; it is %s", self.name, handover.stage.value)
+        while not (self._list_is_current() and handover.stage is not Stage.WAITING):
+            if self.stopping.is_set():
+                return
+            await asyncio.sleep(DRAIN_LOOK_S)
+
+    async def _follow(self, handover: "Handover") -> None:
+        """Look now and then at what the other process of an upgrade does and was told."""
+        while True:
+            self._look(handover)
+            await asyncio.sleep(self.limits.folder_look_us / 1e6)
+
+    def _look(self, handover: "Handover") -> None:
+        assert self.bans is not None
+        self.bans.look()
+        before = handover.stage
+        try:
+            if not self._lacking():
+                handover.ready()
+            handover.look()
+        except OSError as fault:
+            log.warning("%s: the locks: %s", self.name, fault)
+        if handover.stage is not before:
+            log.info("%s: %s", self.name, handover.stage.value)
+        if handover.live != self.live:
+            self.live = handover.live
+            log.info("%s: budgets for %d processes side by side", self.name, self.live)
+            self.limits = self.core.limits = self.runners.limits = self.config.limits.shared(self.live)
+            if self.platform is not None:
+                self.platform.limits = self.limits
+
     def _received(self) -> int:
         return self.selector.read_us
 
@@ -177,18 +279,46 @@
             self.runners.sweep()
             self.collector.look(time.monotonic())
 
-    async def _drain(self) -> None:
+    async def _drain(self, fronts: list[Listener]) -> None:
         """Go on serving what comes; clients hear of the end late. Leave when nothing is owed."""
         log.info("%s was asked to stop; %d requests open", self.name, len(self.core.open))
         until = clock() + self.limits.drain_least_us
-        while clock() < until or self.core.open:
+        while clock() < until or self._owes():
+            if self.handover is not None:
+                self._look(self.handover)
+                if self._handing_over() and self.platform is not None:
+                    return await self._hand_over(self.platform, fronts)
             await asyncio.sleep(DRAIN_LOOK_S)
         await asyncio.sleep(DRAIN_LOOK_S)  # the invoke front has yet to write the last answers
         log.info("%s stops; nothing is owed", self.name)
+        return None
+
+    def _owes(self) -> bool:
+        return bool(self.core.open) or self.platform is not None and self.platform.owes()
+
+    async def _hand_over(self, platform: Platform, fronts: list[Listener]) -> None:
+        """Another process takes the new connections; those that stand here end one by one, once quiet."""
+        log.info("%s hands over; %d connections stand", self.name, len(platform.clients))
+        limits, began = self.limits, clock()
+        longest_us = max(kind.deadline_us for kind in self.core.settings.classes)
+        self.core.leave_us = began + limits.kill_after_us(longest_us) - limits.handover_spare_us
+        for front in fronts[1:]:  # the operators' own stays
+            await front.finish()
+        while self._owes() or platform.stand():
+            await asyncio.sleep(DRAIN_LOOK_S)
+            since_us = clock() - began
+            platform.part(limits.handover_quiet_us if since_us < limits.handover_choosy_us else 0)
+        until = clock() + limits.handover_linger_us
+        while platform.clients and clock() < until:  # what crossed the end is read away
+            await asyncio.sleep(DRAIN_LOOK_S)
+        log.info("%s stops; nothing is owed", self.name)
 
     def print_counters(self) -> None:
+        answers = Counter[str]()
         self.counters["loop.longest_us"] = int(self.selector.busiest_s * 1e6)
-        told = {name: self.counters[name] for name in sorted(self.counters)}
+        for (_, verdict), count in self.core.answers.items():
+            answers[f"answers.{verdict.value}"] += count
+        told = {name: count for name, count in sorted((self.counters + answers).items())}
         print(json.dumps({"counters": told}), file=sys.stderr, flush=True)
 
 
@@ -233,6 +363,9 @@
         raise ConfigError(f"no JSON: {fault}") from None
     if not isinstance(told, dict):
         raise ConfigError("no JSON object")
+    # The process that replaces another is told the same but for this address.
+    told["operator"] = os.environ.get("NODE_OPERATOR") or told.get("operator")
+    told["folder"] = os.environ.get("TMPDIR")
     return config_from(told)
 
 
--- a/maplestile/config.py
+++ b/maplestile/config.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, fields
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from maplestile.fleet import Address, Fleet, FleetError
@@ -29,13 +30,16 @@
     fleet: Fleet
     seed: int
     operator: "Operator | None" = None
+    operation: Address | None = None  # where operators call; what follows is of no use without it
+    folder: Path | None = None  # that outlives this process, and is shared with the one that replaces it
 
     def restarts(self, new: "Config") -> list[str]:
         """What the new one tells otherwise and only a restart can take: the module and the budgets are
         built on it, or a listener stands there."""
         names = [f.name for f in fields(Settings) if f.name not in TOLD_BY_OPERATOR]
         changed = [f"settings.{n}" for n in names if getattr(self.settings, n) != getattr(new.settings, n)]
-        changed += [n for n in ("name", "listen", "limits") if getattr(self, n) != getattr(new, n)]
+        told = "name", "listen", "operation", "limits"
+        changed += [n for n in told if getattr(self, n) != getattr(new, n)]
         if self.operator is not None and new.operator is not None:
             changed += ["invoke.listen"] * (self.operator.listen != new.operator.listen)
         return changed
@@ -56,6 +60,8 @@
             fleet=fleet,
             seed=int(str(told.get("seed", "0")), 16) & (1 << 63) - 1,
             operator=operator,
+            operation=address(told["operator"]) if told.get("operator") else None,
+            folder=Path(told["folder"]) if told.get("folder") else None,
         )
     except KeyError as missing:
         raise ConfigError(f"lacks {missing}") from None
--- a/maplestile/core.py
+++ b/maplestile/core.py
@@ -105,6 +105,7 @@
     clock: Callable[[], int]
     alarm: Callable[[int], None]
     counters: Counter[str] = field(default_factory=Counter)
+    answers: Counter[tuple[str, Verdict]] = field(default_factory=Counter)  # by class
     dispatcher: Dispatcher = field(init=False)
     open: dict[int, Open] = field(default_factory=dict)
     flights: dict[AttemptId, Flight] = field(default_factory=dict)
@@ -116,6 +117,7 @@
     open_bytes: int = 0
     armed: int = 0
     acting: bool = False
+    leave_us: int = 0  # when the process ends while another one serves; 0 if it stays
 
     def __post_init__(self) -> None:
         self.dispatcher = Dispatcher(self.settings, self.seed)
@@ -129,13 +131,18 @@
         self.counters["requests.taken"] += 1
         # The client's time runs from the last byte, not from when a busy loop got to it.
         due_us = received_us + request.budget_us
+        leaving = 0 < self.leave_us < due_us
+        if leaving:
+            due_us = self.leave_us
         self.open[call] = Open(request, due_us, answer)
         self.open_bytes += request.bytes()
         full = len(self.open) > self.limits.open_requests or self.open_bytes > self.limits.open_bytes
         # Guards memory against a flood, and the requests in hand against a loop that lags ever more.
-        if full or now - received_us > self.limits.lag_most_us:
+        lags = now - received_us > self.limits.lag_most_us
+        if full or lags or (leaving and due_us - now < self.limits.handover_least_us):
             self.counters["requests.shed"] += 1
-            self._finish(call, Outcome(Verdict.REFUSED, retry_after_us=self.limits.max_retry_after_us))
+            later_us = 0 if leaving else self.limits.max_retry_after_us  # the other process takes it at once
+            self._finish(call, Outcome(Verdict.REFUSED, retry_after_us=later_us))
             return call
         self.at(due_us, lambda: self._overdue(call))
         self.give(
@@ -153,6 +160,13 @@
             self.counters["requests.withdrawn"] += 1
             self.give(api.CallExpired(call))
 
+    # What those who run it ask.
+
+    def avoided(self) -> set[str]:
+        """The workers that the decisions leave out now, by their own choice."""
+        known = self.dispatcher.workers
+        return {name for name, worker in known.items() if self.dispatcher.avoids(worker)}
+
     # What the pool and the name server's driver call.
 
     def list_changed(self, event: api.WorkerList) -> None:
@@ -325,5 +339,5 @@
         owed = self.open.pop(call, None)
         if owed is not None:
             self.open_bytes -= owed.request.bytes()
-            self.counters[f"answers.{outcome.verdict.value}"] += 1
+            self.answers[owed.request.class_name, outcome.verdict] += 1
             owed.answer(outcome)
--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -182,8 +182,7 @@
         spare_us = min(ANSWER_US, int(min(1.0, budget_us / ANSWER_FULL_US) * budget_us) // 10)
         spare_us = max(ANSWER_TICKS * self.set.tick_us, spare_us)
         due_us = self.now + max(0, budget_us - spare_us)
-        group, hint_us = f"{kind.name} {event.tenant}", event.cost_us
-        call = Call(event.call, row, kind, group, self.now, due_us, hint_us)
+        call = Call(event.call, row, kind, f"{kind.name} {event.tenant}", self.now, due_us, event.cost_us)
         self.calls[call.id] = call
         self.arrivals.add(self.now)
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
@@ -202,11 +201,10 @@
     def hold(self, call: Call) -> None:
         call.row.waiting[call.id] = call
         late = self.now > call.since_us + call.kind.aim_us and self.may_refuse(call)
-        lost = call.attempts and not any(self.repeatable(call, w) for w in self.workers.values())
+        lost = not any(self.repeatable(call, w) for w in self.workers.values())
         if late or lost: self.finish(call)  # where it may go nowhere any more, waiting brings no worker
         elif self.now >= call.row.retry_us:  # one timer a row: held calls must not storm the module
-            awaited_us = max(HELD_SERVICES * call.row.service_us, HELD_LOADS * call.row.load_us)
-            wait_us = int(max(PAUSE_US, awaited_us))
+            wait_us = int(max(PAUSE_US, HELD_SERVICES * call.row.service_us, HELD_LOADS * call.row.load_us))
             call.row.retry_us = self.now + wait_us
             self.timer(wait_us, lambda: self.wake(call.row))
 
@@ -530,6 +528,11 @@
     def well(self, call: Call, worker: Worker) -> bool:
         return not worker.sick or max(self.suspicion(worker, g) for g in (call.group, "")) < SICK_AT
 
+    def avoids(self, worker: Worker) -> bool:
+        """By choice, and for all calls: it is suspected, takes no connection, or its zone is lost."""
+        unwell = self.suspicion(worker, "") >= SICK_AT or self.now < worker.full_us.get("", 0)
+        return unwell or self.zones[worker.entry.zone].lost
+
     def sweep(self) -> None:
         self.timer(self.keep_us / SWEEPS, self.sweep)
         for zone in [z for z in self.zones.values() if z.lost and self.now >= z.probe_us]:
--- a/maplestile/fleet.py
+++ b/maplestile/fleet.py
@@ -1,7 +1,7 @@
 """The list of runners as told so far, by start-up events or by whole lists, with their addresses."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from maplestile import interface as api
@@ -25,6 +25,7 @@
     version: int = -1
     entries: dict[str, api.WorkerEntry] = field(default_factory=dict)
     addresses: dict[str, Address] = field(default_factory=dict)
+    suspended: frozenset[str] = frozenset()
 
     def apply_known(self, known: Mapping[str, Any]) -> None:
         """The events of the start: the first one holds the whole list, later ones what has changed."""
@@ -66,8 +67,16 @@
         else:
             self.entries[entry.worker], self.addresses[entry.worker] = entry, address
 
+    def shown(self) -> tuple[api.WorkerEntry, ...]:
+        """The list as decisions and pool are to see it: who is suspended drains, whatever was told."""
+        draining = api.WorkerState.DRAINING
+        return tuple(
+            replace(entry, state=draining) if uid in self.suspended else entry
+            for uid, entry in self.entries.items()
+        )
+
     def event(self, kind: api.ListKind = api.ListKind.FULL) -> api.WorkerList:
-        return api.WorkerList(kind, self.version, tuple(self.entries.values()))
+        return api.WorkerList(kind, self.version, self.shown())
 
 
 def _target(told: Mapping[str, Any]) -> tuple[api.WorkerEntry, Address]:
--- a/maplestile/invoke/api.py
+++ b/maplestile/invoke/api.py
@@ -4,14 +4,14 @@
 import re
 import secrets
 from collections import Counter
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field, replace
+from collections.abc import Callable
+from dataclasses import replace
 
 from maplestile.core import Core, Outcome, Request
 from maplestile.invoke import problems
 from maplestile.invoke.operator import Function, Operator
-from maplestile.invoke.problems import Response, problem
 from maplestile.invoke.store import Record, Store
+from maplestile.wire.http import Bounds, HttpRequest, Refused, Response, allow, nothing, problem, retry_after
 
 INVOKE = re.compile(r"/v1/functions/([^/?]+)/invocations")
 ONE = re.compile(r"/v1/invocations/([0-9a-f]+)")
@@ -21,27 +21,6 @@
 POLL_US = 1_000_000  # when to look again at a deferred call that is still pending
 
 
-@dataclass(slots=True, frozen=True)
-class HttpRequest:
-    method: str
-    path: str
-    headers: Mapping[str, str] = field(default_factory=dict)
-    body: bytes = b""
-    received_us: int = 0
-
-
-def nothing() -> None:
-    """What there is to call off where the answer has been given already."""
-
-
-class Refused(Exception):
-    """Ends the handling of a request with a response."""
-
-    def __init__(self, response: Response) -> None:
-        super().__init__(response.status)
-        self.response = response
-
-
 class Api:
     def __init__(self, core: Core, operator: Operator, counters: Counter[str]) -> None:
         self.core, self.operator, self.counters = core, operator, counters
@@ -62,8 +41,14 @@
         self.store.most, self.store.keep_us = new.records, new.record_us
         return self.operator != old
 
+    def bounds(self) -> Bounds:
+        told, limits = self.operator, self.core.limits
+        return Bounds(
+            told.connections, told.idle_s, limits.http_request_us, told.body_bytes, limits.http_linger_us,
+            limits.accept_burst,
+        )  # fmt: skip
+
     def handle(self, request: HttpRequest, respond: Callable[[Response], None]) -> Callable[[], None]:
-        """Answer through `respond`, once; what is returned is to be called if the client leaves first."""
         self.counters["invoke.requests"] += 1
 
         def counted(response: Response) -> None:
@@ -73,10 +58,10 @@
         try:
             path = request.path.partition("?")[0]
             if match := INVOKE.fullmatch(path):
-                self._allow(request, "POST")
+                allow(request, "POST")
                 return self._invoke(match[1], request, counted)
             if match := ONE.fullmatch(path):
-                self._allow(request, "GET", "DELETE")
+                allow(request, "GET", "DELETE")
                 look = self._cancel if request.method == "DELETE" else self._look
                 counted(look(match[1]))
                 return nothing
@@ -85,11 +70,6 @@
             counted(refused.response)
             return nothing
 
-    @staticmethod
-    def _allow(request: HttpRequest, *methods: str) -> None:
-        if request.method not in methods:
-            raise Refused(problem(405, "no such method here", (("Allow", ", ".join(methods)),)))
-
     # Invocations.
 
     def _invoke(
@@ -162,7 +142,7 @@
     ) -> Record:
         if self.store.full():
             self.counters["invoke.store_full"] += 1
-            raise Refused(problem(503, "the store of invocations is full", problems.retry_after(POLL_US)))
+            raise Refused(problem(503, "the store of invocations is full", retry_after(POLL_US)))
         record = Record(secrets.token_hex(16), scope, asked, received_us + call.budget_us)
         self.store.add(record)
         self.in_hand[call.tenant] += 1
@@ -179,7 +159,7 @@
         if told is not None and told.open_most and self.in_hand[tenant] >= told.open_most:
             self.counters["invoke.over_limit"] += 1
             detail = f"tenant '{tenant}' has {told.open_most} calls in hand"
-            raise Refused(problem(429, detail, problems.retry_after(POLL_US)))
+            raise Refused(problem(429, detail, retry_after(POLL_US)))
 
     def _tenant(self, request: HttpRequest) -> str:
         tenant = request.headers.get(TENANT, "")
@@ -213,7 +193,7 @@
     def _look(self, id_: str) -> Response:
         record = self._record(id_)
         if record.answer is None:
-            return Response(202, b"", problems.retry_after(POLL_US))
+            return Response(202, b"", retry_after(POLL_US))
         return self.store.tell(record)
 
     def _cancel(self, id_: str) -> Response:
--- a/maplestile/invoke/problems.py
+++ b/maplestile/invoke/problems.py
@@ -1,30 +1,7 @@
-"""Answers of the invoke API; errors are problem details (RFC 9457)."""
-
-import json
-from dataclasses import dataclass
-from http import HTTPStatus
+"""What a caller of the invoke API is told of an outcome."""
 
 from maplestile.core import Outcome, Verdict
-
-Headers = tuple[tuple[str, str], ...]
-
-
-@dataclass(slots=True, frozen=True)
-class Response:
-    status: int
-    body: bytes = b""
-    headers: Headers = ()
-
-
-def problem(status: int, detail: str, headers: Headers = ()) -> Response:
-    told = {"type": "about:blank", "title": HTTPStatus(status).phrase, "status": status, "detail": detail}
-    return Response(
-        status, json.dumps(told).encode(), (("Content-Type", "application/problem+json"), *headers)
-    )
-
-
-def retry_after(wait_us: int) -> Headers:
-    return (("Retry-After", str(max(1, -(-wait_us // 1_000_000)))),)
+from maplestile.wire.http import Response, problem, retry_after
 
 
 def of(outcome: Outcome) -> Response:
--- a/maplestile/invoke/store.py
+++ b/maplestile/invoke/store.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from maplestile.invoke.problems import Response, problem
+from maplestile.wire.http import Response, problem
 
 Scope = tuple[str, str, str]  # function, tenant, idempotency key
 
--- a/maplestile/limits.py
+++ b/maplestile/limits.py
@@ -1,13 +1,14 @@
 """Every size, count and time that the program keeps to: one type, filled at start and handed down."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from maplestile.interface import Settings
 
 IDLE_MARGIN = 0.8  # of the runner's idle time: the router closes first, so that no send meets a close
 RESERVE = 32  # descriptors for listeners, log, name server, interpreter, and a burst of accepts
 BASE_MB = 20  # what the program takes before it has served anything
-KB = 1024
+KB, MB = 1024, 1 << 20
+ANSWER_BYTES = 230_000  # the longest body that a runner answers with
 
 
 @dataclass(slots=True, frozen=True)
@@ -20,7 +21,8 @@
     client_grace_us: int = 200_000  # for a new connection to ask before it may have to make room
     client_faults: int = 64  # messages that cannot be used, on one connection: its client will not learn
     client_turn: int = 16  # messages of one connection before the others have their turn: 2 to 3 ms
-    client_write_bytes: int = 1 << 20  # unread answers of one client, about twice what 32 streams can owe
+    # Unread answers of one client: 4 s of one that reads 1 MB a second, about as long as it waits for any.
+    client_write_bytes: int = 4 << 20
     all_write_bytes: int = 16 << 20  # and of all clients together
     accept_burst: int = 16  # connections accepted in one go; each takes a descriptor before it is looked at
     accept_queue: int = 1024  # connections that wait in the system to be accepted
@@ -34,6 +36,13 @@
     # The invoke front: for a whole request from its first bytes, and to read away what follows a refusal.
     http_request_us: int = 10_000_000
     http_linger_us: int = 1_000_000
+    # The operators' front: a caller waits 1 s, some finish no call for 4 s. Its connections are taken out of
+    # the clients' part, which holds a half where clients may hold a third.
+    operator_connections: int = 16
+    operator_request_us: int = 2_000_000
+    operator_body_bytes: int = 1 * KB  # nothing there has a body of use
+    operator_linger_us: int = 200_000
+    runners_known: int = 20_000  # ids once listed that are remembered: 2 MB at the most
     # Runners.
     runner_connections: int = 480
     runner_streams: int = 32
@@ -42,7 +51,7 @@
     # and the time without a break after which it doubles.
     runner_rest_least_us: int = 50_000
     runner_rest_us: int = 5_000_000
-    runner_line_bytes: int = 64 * KB
+    runner_line_bytes: int = 4 * ANSWER_BYTES // 3 + 4 * KB  # the longest answer in base64, and its head
     # Between two pieces of one answer: a tenth of the shortest aims, and far over a pause on the way.
     runner_line_us: int = 250_000
     # Without a sign for so long, while a request was given up there, a connection may lead nowhere.
@@ -55,6 +64,18 @@
     names_poll_us: int = 250_000
     names_timeout_us: int = 150_000
     names_read_bytes: int = 16 * KB  # a reply holds 8,000 at the most
+    # A new process is to say yes within 6 s of its start, of which the start itself takes one or two.
+    names_wait_us: int = 3_500_000
+    # What the other process of an upgrade was told or has done: a small part of the grace of 2 s.
+    folder_look_us: int = 100_000
+    # A process that hands over: the quiet after which it ends a connection, until when it looks for such a
+    # quiet, how long before SIGKILL it is to be gone, the least time that a request it still takes needs, and
+    # how long it reads what crossed the end of a connection.
+    handover_quiet_us: int = 20_000
+    handover_choosy_us: int = 1_000_000
+    handover_spare_us: int = 250_000
+    handover_least_us: int = 250_000
+    handover_linger_us: int = 100_000
     # The end: connections still come for 0.4 s after SIGTERM, requests on open ones for 0.2 s more.
     drain_least_us: int = 900_000
     # One read of a socket. A stream holds up to twice as much, so that a client has under 50 KB read ahead.
@@ -62,20 +83,40 @@
     client_read_bytes: int = 16 * KB
     max_retry_after_us: int = 1_000_000
 
+    # SIGKILL comes so long after SIGTERM and the longest deadline, which is taken as 3 s where it is longer.
+    kill_spare_us: int = 700_000
+    kill_deadline_us: int = 3_000_000
+    # What was told, from which the budgets are cut.
+    descriptors: int = 1024
+    memory_mb: float = 192
+
     @classmethod
     def of(cls, settings: Settings, descriptors: int = 1024, memory_mb: float = 192) -> "Limits":
         default = cls()
-        # Runners are few, with a handful of connections each; clients hold a third, and come and go.
-        runners = max(1, descriptors // 2 - RESERVE)
-        spare = int(max(8, memory_mb - BASE_MB)) << 20
         return cls(
-            client_connections=max(1, descriptors - runners - RESERVE),
-            runner_connections=runners,
             open_requests=settings.max_open or default.open_requests,
-            open_bytes=min(default.open_bytes, spare // 3),
-            all_write_bytes=min(default.all_write_bytes, spare // 8),
             runner_streams=settings.streams_per_connection,
             connect_timeout_us=settings.connect_timeout_us or default.connect_timeout_us,
             runner_idle_us=int(IDLE_MARGIN * settings.idle_close_us) or default.runner_idle_us,
             order_timeout_us=settings.order_timeout_us or default.order_timeout_us,
+            descriptors=descriptors,
+            memory_mb=memory_mb,
+        ).shared(1)
+
+    def kill_after_us(self, longest_us: int) -> int:
+        return min(longest_us, self.kill_deadline_us) + self.kill_spare_us
+
+    def shared(self, live: int) -> "Limits":
+        """The budgets of one of so many processes that live side by side."""
+        default, descriptors = type(self)(), self.descriptors // live
+        # Runners are few, with a handful of connections each; clients hold a third, and come and go.
+        runners = max(1, descriptors // 2 - RESERVE)
+        spare = int(max(8, self.memory_mb / live - BASE_MB)) << 20
+        return replace(
+            self,
+            client_connections=max(1, descriptors - runners - RESERVE - self.operator_connections),
+            runner_connections=runners,
+            open_bytes=min(default.open_bytes, spare // 3),
+            all_write_bytes=(unread := min(default.all_write_bytes, spare // 8)),
+            client_write_bytes=min(default.client_write_bytes, max(MB, unread // 2)),
         )
--- a/maplestile/invoke/http.py
+++ b/maplestile/net/http.py
@@ -1,4 +1,4 @@
-"""The invoke API's driver: HTTP/1.1 by h11 over asyncio streams."""
+"""The driver of the HTTP fronts: HTTP/1.1 by h11 over asyncio streams, each front with bounds of its own."""
 
 import asyncio
 import contextlib
@@ -8,13 +8,12 @@
 
 import h11
 
-from maplestile.invoke.api import Api, HttpRequest
-from maplestile.invoke.operator import Operator
-from maplestile.invoke.problems import Response, problem
 from maplestile.net import reads
+from maplestile.net.listen import Listener, listen
+from maplestile.wire.http import Application, Bounds, HttpRequest, Response, problem
 
 log = logging.getLogger(__name__)
-READ_BYTES, HEAD_BYTES, AHEAD_BYTES = 16_384, 16_384, 262_144
+READ_BYTES, HEAD_BYTES, AHEAD_BYTES, QUEUE = 16_384, 16_384, 262_144, 512
 WRITE_S = 10.0
 
 
@@ -31,41 +30,52 @@
 
 
 class Http:
-    def __init__(self, api: Api, counters: Counter[str], received: Callable[[], int]) -> None:
-        self.api, self.counters, self.received = api, counters, received
-        self.limits = api.core.limits
+    def __init__(
+        self, front: str, app: Application, counters: Counter[str], received: Callable[[], int]
+    ) -> None:
+        self.front, self.app, self.counters, self.received = front, app, counters, received
         self.connections = 0
         self.idle: dict[Exchange, None] = {}  # those with no request begun, the one silent longest first
+        self.begun: dict[Exchange, None] = {}  # those whose request is not whole, the oldest first
 
     @property
-    def operator(self) -> Operator:
-        return self.api.operator  # a reload may have put another one there
+    def bounds(self) -> Bounds:
+        return self.app.bounds()  # a reload may have changed them
 
-    async def start(self, host: str, port: int) -> asyncio.Server:
-        return await asyncio.start_server(self._serve, host, port, limit=READ_BYTES, backlog=512)
+    def count(self, what: str) -> None:
+        self.counters[f"{self.front}.{what}"] += 1
+
+    async def start(self, host: str, port: int) -> Listener:
+        return await listen(host, port, self._serve, READ_BYTES, self.bounds.accept_burst, QUEUE)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self.connections >= self.operator.connections and not self._make_room():
-            self.counters["invoke.turned_away"] += 1  # the descriptors are budgeted
+        if self.connections >= self.bounds.connections and not self._make_room():
+            self.count("turned_away")  # the descriptors are budgeted
             writer.transport.abort()
             return
         reads.bound(writer.transport, READ_BYTES)
         self.connections += 1
-        self.counters["invoke.connections"] += 1
+        self.count("connections")
+        exchange = Exchange(self, reader, writer)
         try:
-            await Exchange(self, reader, writer).run()
+            await exchange.run()
         except (Left, OSError, TimeoutError) as fault:
-            log.debug("invoke client: %r", fault)
+            log.debug("%s client: %r", self.front, fault)
         finally:
             self.connections -= 1
+            self.begun.pop(exchange, None)
             writer.close()
 
     def _make_room(self) -> bool:
-        """Guards against idle connections that lock out whoever has something to ask."""
-        if (oldest := next(iter(self.idle), None)) is None:
+        """Guards against connections that say nothing and lock out whoever has something to ask; on a front
+        of one call each, also against those that never say all of it."""
+        waiting = [self.idle, self.begun] if self.bounds.one_call else [self.idle]
+        oldest = next((exchange for some in waiting for exchange in some), None)
+        if oldest is None:
             return False
-        self.counters["invoke.made_room"] += 1
-        del self.idle[oldest]
+        self.count("made_room")
+        self.idle.pop(oldest, None)
+        self.begun.pop(oldest, None)
         oldest.writer.close()
         return True
 
@@ -84,24 +94,24 @@
             try:
                 request = await self._request()
             except TooLarge:
-                detail = f"the body is over {self.http.operator.body_bytes} bytes"
+                detail = f"the body is over {self.http.bounds.body_bytes} bytes"
                 await self._refuse(problem(413, detail))
                 return
             except TooSlow:
-                self.http.counters["invoke.too_slow"] += 1
-                log.warning("invoke client: a request not whole in time; connection closed")
+                self.http.count("too_slow")
+                log.warning("%s client: a request not whole in time; connection closed", self.http.front)
                 await self._refuse(problem(408, "the request was not whole in time"))
                 return
             except h11.RemoteProtocolError as fault:
-                self.http.counters["invoke.malformed"] += 1
-                log.warning("invoke client: %s; connection closed", fault)
+                self.http.count("malformed")
+                log.warning("%s client: %s; connection closed", self.http.front, fault)
                 if self.wire.our_state in (h11.IDLE, h11.SEND_RESPONSE):
                     status = fault.error_status_hint
                     await self._refuse(problem(status, str(fault)))
                 return
             if request is None:
                 return
-            await self._write(await self._answer(request), False)
+            await self._write(await self._answer(request), self.http.bounds.one_call)
             if self.wire.our_state is not h11.DONE or self.wire.their_state is not h11.DONE:
                 return
             self.wire.start_next_cycle()
@@ -118,11 +128,12 @@
         """The first bytes of a request: the client may take its time, and may have to make room."""
         self.http.idle[self] = None
         try:
-            async with asyncio.timeout(self.http.operator.idle_s):
+            async with asyncio.timeout(self.http.bounds.idle_s):
                 data = await self.reader.read(READ_BYTES)
         finally:
             self.http.idle.pop(self, None)
-        self.due_s = asyncio.get_running_loop().time() + self.http.limits.http_request_us / 1e6
+        self.http.begun[self] = None
+        self.due_s = asyncio.get_running_loop().time() + self.http.bounds.request_us / 1e6
         return data
 
     async def _more(self, due_s: float) -> bytes:
@@ -139,15 +150,16 @@
             return None
         head, body = event, bytearray()
         told = dict(head.headers).get(b"content-length", b"0")  # digits, as h11 has checked
-        if len(told) > 18 or int(told) > self.http.operator.body_bytes:
+        if len(told) > 18 or int(told) > self.http.bounds.body_bytes:
             raise TooLarge  # before it is asked to go on, or read
         while isinstance(event := await self._event(), h11.Data):
             body += event.data
-            if len(body) > self.http.operator.body_bytes:
+            if len(body) > self.http.bounds.body_bytes:
                 raise TooLarge
         if not isinstance(event, h11.EndOfMessage):
             return None
         self.due_s = None
+        self.http.begun.pop(self, None)
         headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
         return HttpRequest(
             head.method.decode(), head.target.decode("latin-1"), headers, bytes(body), self.http.received()
@@ -156,7 +168,7 @@
     async def _answer(self, request: HttpRequest) -> Response:
         """Wait for the answer, and for the client's leaving, which calls the request off."""
         answer: asyncio.Future[Response] = asyncio.get_running_loop().create_future()
-        leave = self.http.api.handle(request, lambda r: None if answer.done() else answer.set_result(r))
+        leave = self.http.app.handle(request, lambda r: None if answer.done() else answer.set_result(r))
         try:
             while not answer.done():
                 reading = asyncio.ensure_future(self.reader.read(READ_BYTES))
@@ -186,7 +198,7 @@
         await self._write(response, True)
         self.writer.write_eof()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self.http.limits.http_linger_us / 1e6):
+            async with asyncio.timeout(self.http.bounds.linger_us / 1e6):
                 while await self.reader.read(READ_BYTES):
                     pass
 
--- a/maplestile/net/names.py
+++ b/maplestile/net/names.py
@@ -45,6 +45,7 @@
     ) -> None:  # fmt: skip
         self.server, self.fleet, self.limits, self.counters = server, fleet, limits, counters
         self.changed = changed
+        self.heard = False  # a usable answer has come
         start = secrets.randbelow(1 << 16)  # not to be guessed: a foreign reply must not fit
         self.ids = (n & 0xFFFF for n in itertools.count(start))
         self.socket = Socket(counters)
@@ -70,7 +71,7 @@
                     )
                     reads.bound(self.transport, self.limits.names_read_bytes)
                 await self._poll()
-                failures = 0
+                self.heard, failures = True, 0
             except (dns.DnsError, TimeoutError, OSError) as fault:
                 failures += 1
                 self.counters["names.failed"] += 1
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -1,8 +1,11 @@
 """The platform's front: clients' JSON-RPC connections, each request handed to the core."""
 
+import array
 import asyncio
+import contextlib
+import fcntl
 import logging
-import socket
+import termios
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -10,6 +13,7 @@
 from maplestile.core import Core, Outcome
 from maplestile.limits import Limits
 from maplestile.net import reads
+from maplestile.net.listen import Listener, listen
 from maplestile.wire import jsonrpc as wire
 
 log = logging.getLogger(__name__)
@@ -18,12 +22,21 @@
 @dataclass(slots=True, eq=False)
 class Client:
     writer: asyncio.StreamWriter
+    framer: wire.Framer
     since_us: int  # of the connect, or of the first byte of the message that is not whole yet
     greeted: bool = False  # a whole message has come
     faults: int = 0
     calls: dict[int, int] = field(default_factory=dict)  # the ids open on this connection, to the core's
     tags: dict[str, int] = field(default_factory=dict)
     idle: asyncio.Event = field(default_factory=asyncio.Event)
+    stirred_us: int = 0  # when it last asked or was answered
+    parted: bool = False  # this side of the connection has ended
+
+    def unread(self) -> int:
+        """What waits in the system to be read."""
+        waiting = array.array("i", [0])
+        fcntl.ioctl(self.writer.get_extra_info("socket").fileno(), termios.FIONREAD, waiting)
+        return waiting[0]
 
 
 class Platform:
@@ -35,22 +48,30 @@
         self.received, self.ready = received, ready
         self.known = wire.Known.of(core.settings)
         self.clients: dict[Client, None] = {}  # the one that was silent longest first
+        self.closing: set[Client] = set()  # they have yet to read answers
 
-    async def start(self, host: str, port: int) -> asyncio.Server:
-        found = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE)
-        family, kind, protocol, _, local = found[0]
-        # The protocol is named: without it asyncio leaves Nagle's algorithm on, and answers wait for 40 ms.
-        listener = socket.socket(family, kind, protocol)
-        listener.setblocking(False)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(local)
+    async def start(self, host: str, port: int, shared: bool) -> Listener:
         limits = self.limits
-        server = await asyncio.start_server(
-            self._serve, sock=listener, limit=limits.client_read_bytes, backlog=limits.accept_burst
-        )
-        # asyncio accepts as many in one go as may wait; only what it accepts at once needs the small number.
-        listener.listen(limits.accept_queue)
-        return server
+        burst, queue = limits.accept_burst, limits.accept_queue
+        return await listen(host, port, self._serve, limits.client_read_bytes, burst, queue, shared)
+
+    def owes(self) -> bool:
+        """Answers are given, and not all with the system yet."""
+        return bool(self.closing) or self._unread() > 0
+
+    def stand(self) -> bool:
+        """There are connections that this side has not ended."""
+        return any(not client.parted for client in self.clients)
+
+    def part(self, quiet_us: int) -> None:
+        """End this side of each connection on which nothing is open, unread or begun, and nothing has come or
+        gone for a while: a request that crosses the end finds a clean close, and goes again elsewhere."""
+        until_us = self.core.clock() - quiet_us
+        for client in list(self.clients):
+            quiet = not client.calls and not client.framer.rest and client.stirred_us <= until_us
+            if quiet and not client.parted and not client.writer.is_closing() and not client.unread():
+                client.parted = True
+                client.writer.write_eof()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if len(self.clients) >= self.limits.client_connections and not self._make_room():
@@ -59,7 +80,8 @@
             writer.transport.abort()
             return
         reads.bound(writer.transport, self.limits.client_read_bytes)
-        client = Client(writer, self.core.clock())
+        now = self.core.clock()
+        client = Client(writer, wire.Framer(self.limits), now, stirred_us=now)
         self.clients[client] = None
         self.counters["clients.connections"] += 1
         try:
@@ -79,14 +101,21 @@
                 self.core.withdraw(call)
             client.calls.clear()
             writer.close()
+            if writer.transport.get_write_buffer_size():
+                self.closing.add(client)
+                with contextlib.suppress(OSError):
+                    await writer.wait_closed()
+                self.closing.discard(client)
 
     async def _read_all(self, client: Client, reader: asyncio.StreamReader) -> None:
-        framer = wire.Framer(self.limits)
-        while data := await self._read(client, reader, framer):
+        while data := await self._read(client, reader):
             if client.writer.is_closing():  # it made room: what crossed that is sent again by its client
                 return
+            if client.parted:  # the same
+                self.counters["clients.crossed"] += 1
+                continue
             received_us, whole = self.received(), 0
-            for whole, view in enumerate(framer.feed(data), 1):
+            for whole, view in enumerate(client.framer.feed(data), 1):
                 client.greeted = True
                 self._message(client, view, received_us)
                 self.core.catch_up()
@@ -98,8 +127,8 @@
                 client.since_us = received_us
                 self._stirred(client)
 
-    async def _read(self, client: Client, reader: asyncio.StreamReader, framer: wire.Framer) -> bytes:
-        if client.greeted and not framer.rest:  # it may stay for good, and ask again or not
+    async def _read(self, client: Client, reader: asyncio.StreamReader) -> bytes:
+        if client.greeted and not client.framer.rest:  # it may stay for good, and ask again or not
             data = await reader.read(self.limits.client_read_bytes)
             client.since_us = self.core.clock()
             return data
@@ -117,6 +146,7 @@
             await client.idle.wait()
 
     def _stirred(self, client: Client) -> None:
+        client.stirred_us = self.core.clock()
         if client in self.clients:
             del self.clients[client]
             self.clients[client] = None
@@ -194,9 +224,14 @@
             return
         client.writer.write(data)
         unread, limits = transport.get_write_buffer_size(), self.limits
-        if unread > limits.client_write_bytes or (unread and self._unread() > limits.all_write_bytes):
-            # Clients that read nothing would fill the memory.
-            self.counters["clients.too_slow"] += 1
-            log.warning("client: reads too slowly; connection closed")
-            transport.abort()
-            client.idle.set()
+        if unread > limits.client_write_bytes:
+            self._too_slow(client)
+        elif unread and self._unread() > limits.all_write_bytes:
+            # Clients that read nothing would fill the memory; of many the one goes that fills it most.
+            self._too_slow(max(self.clients, key=lambda c: c.writer.transport.get_write_buffer_size()))
+
+    def _too_slow(self, client: Client) -> None:
+        self.counters["clients.too_slow"] += 1
+        log.warning("client: reads too slowly; connection closed")
+        client.writer.transport.abort()
+        client.idle.set()
--- a/maplestile/net/runners.py
+++ b/maplestile/net/runners.py
@@ -27,7 +27,7 @@
 
 @dataclass(slots=True)
 class Message:
-    """One line to a runner. `fresh` marks what may not go to a runner that drains."""
+    """One line to a runner. `fresh` marks what may not go to a runner that drains: all but a CANCEL."""
 
     line: bytes
     fresh: bool
@@ -78,6 +78,7 @@
         self.runners: dict[str, Runner] = {}
         self.where: dict[AttemptId, tuple[Connection, Message]] = {}
         self.connections = 0
+        self.calls_written = 0  # attempts written whole
         # How long a connection may rest and still carry a request: learned, since some way along may drop it
         # sooner than the settings tell, and says so only when the next request comes.
         self.keep_us, self.kept_us = limits.runner_idle_us, 0
@@ -86,8 +87,9 @@
     # The list.
 
     def update(self, fleet: Fleet) -> None:
-        for uid, entry in fleet.entries.items():
-            takes_new, address = entry.state is WorkerState.RUNNING, fleet.addresses[uid]
+        for entry in fleet.shown():
+            uid, takes_new = entry.worker, entry.state is WorkerState.RUNNING
+            address = fleet.addresses[uid]
             runner = self.runners.get(uid)
             if runner is None:
                 self.runners[uid] = Runner(uid, address, entry.started_us, takes_new)
@@ -133,16 +135,16 @@
 
     def order(self, tag: int, worker: str, function: str, copies: int) -> None:
         name = f"load-{tag}"
-        message = Message(wire.load(name, function, copies), copies > 0, None, name, tag)
+        message = Message(wire.load(name, function, copies), True, None, name, tag)
         if not self._put(worker, message):
             self.core.order_ended(tag, Result.CONNECT_FAILED)
 
     def unload(self, worker: str, function: str) -> None:
-        self._put(worker, Message(wire.unload(function), False))
+        self._put(worker, Message(wire.unload(function), True))
 
     def probe(self, tag: int, worker: str) -> None:
         name = f"probe-{tag}"
-        if not self._put(worker, Message(wire.stats(name), False, None, name, tag, True)):
+        if not self._put(worker, Message(wire.stats(name), True, None, name, tag, True)):
             self.core.probe_ended(tag, Result.CONNECT_FAILED)
 
     def forget(self, tag: int) -> None:
@@ -160,10 +162,11 @@
         now = self.clock()
         if now - self.kept_us > self.limits.runner_rest_us:  # what dropped them may have passed
             self.keep_us, self.kept_us = min(2 * self.keep_us, self.limits.runner_idle_us), now
+        over = self.connections > self.limits.runner_connections  # another process shares the descriptors now
         for runner in list(self.runners.values()):
             for connection in [c for c in runner.connections if c.doubtful and not c.streams()]:
                 self._close(connection, Result.RESET)
-            self._close_unused(runner, now - self.keep_us if runner.listed else None)
+            self._close_unused(runner, now - self.keep_us if runner.listed and not over else None)
             if not runner.listed and not runner.connections:
                 self.runners.pop(runner.uid, None)
 
@@ -280,15 +283,23 @@
                 connection.partial = message
                 asyncio.get_running_loop().create_task(self._drained(connection, writer))
                 return
+            self._written(message)
 
     async def _drained(self, connection: Connection, writer: asyncio.StreamWriter) -> None:
         try:
             await writer.drain()
         except OSError:
             return  # the reader sees the same end and closes
+        if connection.partial is not None and not connection.closed:
+            self._written(connection.partial)
         connection.partial = None
         self._flush(connection)
 
+    def _written(self, message: Message) -> None:
+        """The system has all of it."""
+        if message.attempt is not None:
+            self.calls_written += 1
+
     def _unsent(self, message: Message, result: Result) -> None:
         if message.attempt is not None:
             self.where.pop(message.attempt, None)
--- /dev/null
+++ b/maplestile/operation/api.py
@@ -0,0 +1,74 @@
+"""What operators may call: readiness, the figures, and runners taken out and put back. It knows no socket."""
+
+import re
+from collections.abc import Callable
+from typing import Protocol
+from urllib.parse import unquote
+
+from maplestile.limits import Limits
+from maplestile.operation import figures
+from maplestile.wire.http import Bounds, HttpRequest, Refused, Response, allow, nothing, problem
+
+RUNNER = re.compile(r"/v1/runners/([^/]+)/(suspend|resume)")
+READY, METRICS = "/v1/readyz", "/v1/metrics"
+
+
+class Router(Protocol):
+    """The router as its operators see it."""
+
+    def ready(self) -> str:
+        """Why it cannot serve yet; empty if it can."""
+        ...
+
+    def figures(self) -> figures.Figures: ...
+
+    def suspend(self, runner: str) -> bool:
+        """Take a runner out; false for one that was never listed."""
+        ...
+
+    def resume(self, runner: str) -> bool: ...
+
+
+class OperatorApi:
+    def __init__(self, router: Router, limits: Limits) -> None:
+        self.router, self.limits = router, limits
+
+    def bounds(self) -> Bounds:
+        limits = self.limits
+        whole_us = limits.operator_request_us
+        return Bounds(
+            limits.operator_connections, whole_us / 1e6, whole_us, limits.operator_body_bytes,
+            limits.operator_linger_us, limits.accept_burst, one_call=True,
+        )  # fmt: skip
+
+    def handle(self, request: HttpRequest, respond: Callable[[Response], None]) -> Callable[[], None]:
+        try:
+            respond(self._answer(request))
+        except Refused as refused:
+            respond(refused.response)
+        return nothing
+
+    def _answer(self, request: HttpRequest) -> Response:
+        path = request.path.partition("?")[0]
+        if path == READY:
+            allow(request, "GET")
+            lacking = self.router.ready()
+            return problem(503, lacking) if lacking else Response(200, b"ready\n", PLAIN)
+        if path == METRICS:
+            allow(request, "GET")
+            told = figures.text(self.router.figures())
+            return Response(200, told.encode(), (("Content-Type", figures.CONTENT_TYPE),))
+        if (match := RUNNER.fullmatch(path)) is None:
+            raise Refused(problem(404, "no such resource"))
+        allow(request, "PUT")
+        try:
+            runner = unquote(match[1], errors="strict")
+        except UnicodeDecodeError:
+            raise Refused(problem(400, "the runner's id is no UTF-8")) from None
+        change = self.router.suspend if match[2] == "suspend" else self.router.resume
+        if not change(runner):
+            raise Refused(problem(404, f"no runner '{runner}' was ever listed"))
+        return Response(204)
+
+
+PLAIN = (("Content-Type", "text/plain; charset=utf-8"),)
--- /dev/null
+++ b/maplestile/operation/desk.py
@@ -0,0 +1,38 @@
+"""The router as its operators see it: what its parts know, asked at the moment of the call."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from maplestile.core import Core
+from maplestile.fleet import Fleet
+from maplestile.operation.bans import Bans
+from maplestile.operation.figures import Figures
+
+
+@dataclass(slots=True, frozen=True)
+class Desk:
+    core: Core
+    fleet: Fleet
+    bans: Bans
+    backend_calls: Callable[[], int]
+    lacking: Callable[[], str]
+
+    def ready(self) -> str:
+        return self.lacking()
+
+    def figures(self) -> Figures:
+        listed = self.fleet.entries.keys()
+        return Figures(
+            classes=tuple(kind.name for kind in self.core.settings.classes),
+            answers=self.core.answers,
+            backend_calls=self.backend_calls(),
+            inflight=len(self.core.open),
+            hosts_listed=len(listed),
+            hosts_down=len(listed & (self.fleet.suspended | self.core.avoided())),
+        )
+
+    def suspend(self, runner: str) -> bool:
+        return self.bans.suspend(runner)
+
+    def resume(self, runner: str) -> bool:
+        return self.bans.resume(runner)
--- /dev/null
+++ b/maplestile/operation/figures.py
@@ -0,0 +1,54 @@
+"""The figures, in the text format of Prometheus (version 0.0.4)."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from maplestile.core import Verdict
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+PREFIX = "svc_"
+ENDS = (
+    ("success_total", "Requests served.", (Verdict.SERVED,)),
+    ("busy_total", "Requests refused.", (Verdict.REFUSED,)),
+    ("failure_total", "Requests failed, in time or out of it.", (Verdict.FAILED, Verdict.EXPIRED)),
+)
+
+
+@dataclass(slots=True, frozen=True)
+class Figures:
+    """What stood at the moment of the call; the counts go from 0 at the start of the process."""
+
+    classes: tuple[str, ...]
+    answers: Mapping[tuple[str, Verdict], int]
+    backend_calls: int
+    inflight: int
+    hosts_listed: int
+    hosts_down: int
+
+
+def text(figures: Figures) -> str:
+    lines = list[str]()
+    for name, told, verdicts in ENDS:
+        samples = [
+            (f'{{tier="{quoted(tier)}"}}', sum(figures.answers.get((tier, v), 0) for v in verdicts))
+            for tier in figures.classes
+        ]
+        lines += _family(name, "counter", told, samples)
+    for name, kind, told, value in (
+        ("backend_calls_total", "counter", "Attempts written whole to runners.", figures.backend_calls),
+        ("inflight", "gauge", "Requests taken and not ended.", figures.inflight),
+        ("hosts_listed", "gauge", "Runners on the list.", figures.hosts_listed),
+        ("hosts_down", "gauge", "Runners on the list that get no calls now, by hand or by choice.",
+         figures.hosts_down),
+    ):  # fmt: skip
+        lines += _family(name, kind, told, [("", value)])
+    return "\n".join(lines) + "\n"
+
+
+def _family(name: str, kind: str, told: str, samples: Iterable[tuple[str, int]]) -> list[str]:
+    head = [f"# HELP {PREFIX}{name} {told}", f"# TYPE {PREFIX}{name} {kind}"]
+    return head + [f"{PREFIX}{name}{labels} {value}" for labels, value in samples]
+
+
+def quoted(label: str) -> str:
+    return label.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -22,8 +22,8 @@
 from maplestile.cli import main
 from maplestile.garbage import Collector
 from maplestile.invoke.operator import OperatorError, parse
-from maplestile.invoke.problems import Response
 from maplestile.invoke.store import Record, Store
+from maplestile.wire.http import Response
 from tests.standins import ROOT, Program
 
 TEXT = (ROOT / "deploy" / "operator.toml").read_text()
