Have agent and command line use the operators' front; tests of upgrade, bans and figures

Need: serve instances lacked the front of the platform's, and its parts had no test with the real program.

Change: [operation] in the operator's file, 'operator' in the agent's; maplestile ready, figures, suspend, resume. Process tests: figures against counts of stand-in clients and runners, a ban against the list, a ban told to either process, two upgrades in a row under load, a successor killed before its yes, SIGTERM before it is ready, a slow reader of long answers. A stand-in's port is remembered, since a test may clear the log.

--- a/maplestile/agent.py
+++ b/maplestile/agent.py
@@ -3,7 +3,7 @@
 It speaks one JSON object a line: `{"do":"status","instances":["n1"]}` in, one object back."""
 
 import asyncio
-import ipaddress
+import contextlib
 import json
 import logging
 import os
@@ -14,11 +14,22 @@
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
+from urllib.parse import quote
 
+from maplestile.config import address
 from maplestile.invoke.operator import OperatorError, Table
+from maplestile.invoke.operator import load as load_operator
+from maplestile.operation.client import CallError, call
 
 log = logging.getLogger("maplestile.agent")
 LINE_BYTES, ASK_S, ANSWER_S = 65_536, 60.0, 3.0
+ANSWER_BYTES = 1 << 20  # figures of many instances
+OPERATE = {
+    "ready": ("GET", "/v1/readyz"),
+    "figures": ("GET", "/v1/metrics"),
+    "suspend": ("PUT", "/v1/runners/{}/suspend"),
+    "resume": ("PUT", "/v1/runners/{}/resume"),
+}
 
 
 @dataclass(slots=True, frozen=True)
@@ -27,6 +38,8 @@
     command: tuple[str, ...]
     environment: tuple[tuple[str, str], ...]
     reloads: bool  # a router of this program: to another command SIGHUP may mean its end
+    file: Path | None = None  # of such a router
+    operator: str = ""  # where operators call it, where no file tells that
 
 
 @dataclass(slots=True, frozen=True)
@@ -49,15 +62,8 @@
     except tomllib.TOMLDecodeError as fault:
         raise OperatorError(f"{path}: no TOML: {fault}") from None
     agent = root.table("agent")
-    host, _, port = agent.address("listen").rpartition(":")
-    try:
-        loopback = ipaddress.ip_address(host).is_loopback
-    except ValueError:
-        loopback = False
-    if not loopback:  # whoever reaches this port can stop the service
-        raise OperatorError("agent.listen: must be a loopback address")
     plan = Plan(
-        (host, int(port)),
+        address(agent.loopback("listen")),
         tuple(_spec(table, path.parent) for table in root.tables("instance")),
         agent.number("backoff_s", 0.5, least=0.01),
         agent.number("backoff_most_s", 30.0, least=0.01),
@@ -74,6 +80,7 @@
 
 def _spec(table: Table, folder: Path) -> Spec:
     name, file = table.text("name"), table.text("file", "")
+    operator = table.loopback("operator") if "operator" in table.values else ""
     command, environment = table.values.pop("command", None), table.values.pop("env", {})
     if bool(file) == bool(command):
         raise OperatorError(f"{table.path}: needs 'file' or 'command', and not both")
@@ -84,7 +91,8 @@
     if not isinstance(environment, dict) or not all(isinstance(v, str) for v in environment.values()):
         raise OperatorError(f"{table.path}.env: must be a table of texts")
     table.end()
-    return Spec(name, tuple(command), tuple(environment.items()), bool(file))
+    path = folder / file if file else None
+    return Spec(name, tuple(command), tuple(environment.items()), bool(file), path, operator)
 
 
 class Instance:
@@ -204,6 +212,22 @@
         except TimeoutError:
             return None
 
+    async def operate(self, method: str, path: str) -> dict[str, Any]:
+        """What its operators' front answers: `ok`, and the body or what went wrong."""
+        try:
+            told = self.spec.operator
+            if not told and self.spec.file is not None:
+                told = load_operator(self.spec.file).node.get("operator", "")
+            if not told:
+                return {"ok": False, "told": "it has no operators' front"}
+            status, body = await call(address(told), method, path, ANSWER_S)
+        except (CallError, OperatorError) as fault:
+            return {"ok": False, "told": str(fault)}
+        if status >= 400:
+            with contextlib.suppress(ValueError, KeyError, TypeError):
+                body = json.loads(body)["detail"]
+        return {"ok": status < 300, "told": body.strip()}
+
     def _told(self, line: bytes) -> bool:
         try:
             ((word, told),) = json.loads(line).items()
@@ -280,16 +304,24 @@
             case "counters" | "reload":
                 asks = (i.count() if do == "counters" else i.reload() for i in chosen)
                 return {do: dict(zip(names, await asyncio.gather(*asks), strict=True))}
+            case "ready" | "figures" | "suspend" | "resume":
+                if do in ("suspend", "resume") and not isinstance(asked.get("runner"), str):
+                    return {"error": f"'{do}' needs a runner"}
+                told = OPERATE[do][0], OPERATE[do][1].format(quote(asked.get("runner", ""), safe=""))
+                answers = await asyncio.gather(*(instance.operate(*told) for instance in chosen))
+                return {do: dict(zip(names, answers, strict=True))}
             case _:
                 return {"error": f"no command '{do}'"}
         return {"instances": {instance.spec.name: instance.status() for instance in chosen}}
 
 
-async def ask(address: tuple[str, int], do: str, names: list[str]) -> dict[str, Any]:
+async def ask(
+    where: tuple[str, int], do: str, names: list[str], **more: str
+) -> dict[str, Any]:
     """What the command line asks of a running agent."""
-    reader, writer = await asyncio.open_connection(*address, limit=LINE_BYTES)
+    reader, writer = await asyncio.open_connection(*where, limit=ANSWER_BYTES)
     try:
-        writer.write(json.dumps({"do": do, "instances": names}).encode() + b"\n")
+        writer.write(json.dumps({"do": do, "instances": names, **more}).encode() + b"\n")
         async with asyncio.timeout(ASK_S):
             line = await reader.readline()
     finally:
--- a/maplestile/cli.py
+++ b/maplestile/cli.py
@@ -28,8 +28,14 @@
         ("restart", "restart the named instances, or all of them"),
         ("reload", "have the named instances, or all of them, read their files again"),
         ("counters", "the counters of the named instances, or of all"),
+        ("ready", "whether the named instances, or all of them, can serve"),
+        ("figures", "the figures of the named instances, or of all"),
+        ("suspend", "take a runner out at the named instances, or at all"),
+        ("resume", "put a runner back at the named instances, or at all"),
     ):
         asked = commands.add_parser(name, help=text)
+        if name in ("suspend", "resume"):
+            asked.add_argument("runner")
         asked.add_argument("instance", nargs="*")
         asked.add_argument("--agent", default=DEFAULT_AGENT, metavar="HOST:PORT")
         asked.add_argument("--json", action="store_true", help="print the agent's whole answer")
@@ -83,7 +89,8 @@
 def _ask(asked: argparse.Namespace) -> int:
     host, _, port = asked.agent.rpartition(":")
     try:
-        reply = asyncio.run(agent.ask((host, int(port)), asked.command, asked.instance))
+        more = {"runner": asked.runner} if "runner" in asked else {}
+        reply = asyncio.run(agent.ask((host, int(port)), asked.command, asked.instance, **more))
     except (OSError, ValueError, TimeoutError) as fault:
         print(f"maplestile: no agent at {asked.agent}: {fault}", file=sys.stderr)
         return 1
@@ -94,6 +101,14 @@
         print(json.dumps(reply, indent=2))
         told = reply.get("reload", {}).values()
         return int(any(answer is not None and not answer["ok"] for answer in told))
+    if asked.command in agent.OPERATE:
+        answers = reply[asked.command]
+        for name, told in answers.items():
+            if asked.command == "figures" and told["ok"]:
+                print(f"# {name}", told["told"], sep="\n")
+            else:
+                print(name, "yes" if told["ok"] else "no", told["told"], sep="\t")
+        return int(not all(told["ok"] for told in answers.values()))
     for name, told in reply["instances"].items():
         pid = f"pid {told['pid']}" if told["pid"] else "no process"
         print(name, told["state"], pid, f"{told['starts']} starts", f"{told['for_s']} s", sep="\t", end="\t")
--- a/maplestile/config.py
+++ b/maplestile/config.py
@@ -38,7 +38,7 @@
         built on it, or a listener stands there."""
         names = [f.name for f in fields(Settings) if f.name not in TOLD_BY_OPERATOR]
         changed = [f"settings.{n}" for n in names if getattr(self.settings, n) != getattr(new.settings, n)]
-        told = "name", "listen", "operation", "limits"
+        told = "name", "listen", "operation", "folder", "limits"
         changed += [n for n in told if getattr(self, n) != getattr(new, n)]
         if self.operator is not None and new.operator is not None:
             changed += ["invoke.listen"] * (self.operator.listen != new.operator.listen)
--- a/maplestile/invoke/operator.py
+++ b/maplestile/invoke/operator.py
@@ -2,6 +2,7 @@
 
 What the core needs of it is put into the platform's form, so that one parser serves both fronts."""
 
+import ipaddress
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -76,6 +77,16 @@
             raise OperatorError(f"{self.path}.{name}: must be host:port")
         return value
 
+    def loopback(self, name: str) -> str:
+        """Whoever reaches such an address can stop the service, or take its runners out."""
+        value = self.address(name)
+        try:
+            if ipaddress.ip_address(value.rpartition(":")[0]).is_loopback:
+                return value
+        except ValueError:
+            pass
+        raise OperatorError(f"{self.path}.{name}: must be a loopback address")
+
     def number(self, name: str, default: float | None = None, least: float = 0.0) -> float:
         value = float(self._take(name, (int, float), "a number", default))
         if not least <= value < 1e12:
@@ -126,7 +137,7 @@
         raise OperatorError(f"no TOML: {fault}") from None
     name = str(root.values.pop("name", "maplestile"))
     invoke, limits, rules = root.table("invoke"), root.table("limits"), root.table("rules")
-    platform, names = root.table("platform"), root.table("names")
+    platform, names, operation = root.table("platform"), root.table("names"), root.table("operation")
     grades = [_grade(table) for table in _unique(root.tables("class"))]
     classes = {grade["name"]: grade for grade in grades}
     functions = {f.name: f for f in (_function(t, classes) for t in _unique(root.tables("function")))}
@@ -163,6 +174,8 @@
         node["listen"] = platform.address("listen")
     if names.values:
         node["dns"] = names.address("server")
+    if operation.values:
+        node |= {"operator": operation.loopback("listen"), "folder": operation.text("folder", "")}
     if not workers and not names.values:
         raise OperatorError("worker: at least one [[worker]] or [names] server is needed")
     operator = Operator(
@@ -179,7 +192,7 @@
         idle_s=limits.number("idle_s", 30.0, least=0.1),
         node=node,
     )
-    for table in (invoke, limits, rules, platform, names, root):
+    for table in (invoke, limits, rules, platform, names, operation, root):
         table.end()
     return operator
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -84,6 +84,8 @@
             self.die()
         if word in (b"die", b"hang"):
             return None
+        if word == b"long":
+            body = 230_000 * b"x"
         if word == b"error":
             return {"kind": 500}
         return {"kind": 200, "head": {"ahead": "1"}, "bytes": base64.b64encode(body[::-1]).decode()}
@@ -143,6 +145,7 @@
 
     def __init__(self, *arguments: str, **environment: str) -> None:
         self.log: list[str] = []
+        self.ports: dict[str, int] = {}
         self.file = Path(arguments[-1] if arguments else "")
         env = {**os.environ, **environment, "PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
         self.process = subprocess.Popen(
@@ -163,7 +166,9 @@
         return str(eventually(look, f"{pattern} in {self.log}"))
 
     def port(self, front: str) -> int:
-        return int(self.find(rf"{front} front listens on 127\.0\.0\.1:(\d+)"))
+        if front not in self.ports:  # the log may have been cleared since
+            self.ports[front] = int(self.find(rf"{front} front listens on 127\.0\.0\.1:(\d+)"))
+        return self.ports[front]
 
     def counters(self) -> dict[str, int]:
         self.log.clear()
@@ -247,14 +252,15 @@
             "state": state, "capacity_hint": 4, "boot_ms": 0}  # fmt: skip
 
 
-def node(workers: list[Worker], names: NameServer) -> Program:
-    """The program as the platform starts it."""
+def node(workers: list[Worker], names: NameServer, folder: str = "", port: int = 0) -> Program:
+    """The program as the platform starts it; with a folder of its own also an address for operators."""
     targets = [target(f"s-{n}", worker.port) for n, worker in enumerate(workers)]
     known = {"index": 1, "updates": [{"index": 1, "endpoints": {"all": True, "targets": targets}}]}
-    config = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "known": known,
+    config = {"name": "n0", "listen": f"127.0.0.1:{port}", "seed": "8c1f30d27a5be964", "known": known,
               "limits": {"sockets": 256}, "dns": f"127.0.0.1:{names.port}", "settings": params()}  # fmt: skip
     file = Path(tempfile.mkdtemp()) / "config.json"
     file.write_text(json.dumps(config))
-    program = Program(NODE_CONFIG=str(file))
+    told = {"TMPDIR": folder, "NODE_OPERATOR": "127.0.0.1:0"} if folder else {}
+    program = Program(NODE_CONFIG=str(file), **told)
     program.file = file
     return program
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -53,6 +53,14 @@
             while not all((n, 0) in self.ends.ended for n in numbers):
                 await asyncio.sleep(0.005)
 
+    async def test_send_that_waits_for_its_connection_goes_stale_when_its_runner_is_suspended(self) -> None:
+        self.send(1, b"x")
+        self.pool.probe(7, "s-0")
+        self.fleet.suspended = frozenset({"s-0"})
+        self.pool.update(self.fleet)
+        await self.until(1)
+        self.assertEqual((self.ends.ended[1, 0], self.worker.lines), (Result.MOOT, []))
+
     async def test_send_that_waits_for_its_connection_goes_stale_when_a_drain_is_told(self) -> None:
         self.send(1, b"x")  # the connection is not up before the loop runs
         self.list(api.WorkerState.DRAINING)
--- /dev/null
+++ b/tests/test_process_operation.py
@@ -0,0 +1,289 @@
+"""The real program as its operators run it: figures, suspended runners, and one process after the other."""
+
+import base64
+import contextlib
+import http.client
+import io
+import json
+import socket
+import struct
+import sys
+import tempfile
+import threading
+import time
+import unittest
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+from maplestile.cli import main
+from tests.standins import ITEM, PATIENCE_S, Client, NameServer, Program, Worker, eventually, node
+
+
+def ask(program: Program, path: str, method: str = "GET") -> tuple[int, str]:
+    link = http.client.HTTPConnection("127.0.0.1", program.port("operator"), timeout=PATIENCE_S)
+    try:
+        link.request(method, path)
+        answer = link.getresponse()
+        return answer.status, answer.read().decode()
+    finally:
+        link.close()
+
+
+def put(program: Program, runner: str, do: str) -> int:
+    return ask(program, f"/v1/runners/{runner}/{do}", "PUT")[0]
+
+
+def figures(program: Program) -> dict[str, int]:
+    told = ask(program, "/v1/metrics")[1].splitlines()
+    return {name: int(value) for name, value in (s.split() for s in told if not s.startswith("#"))}
+
+
+class Caller(threading.Thread):
+    """A client that keeps calling on one connection, some at a time, until told to stop. A connection that
+    ends with nothing open on it is replaced; its last request goes again if it crossed that end."""
+
+    def __init__(self, port: int, class_name: str) -> None:
+        super().__init__(daemon=True)
+        self.port, self.class_name, self.done = port, class_name, threading.Event()
+        self.asked, self.served, self.crossed, self.faults = 0, 0, 0, list[str]()
+
+    def run(self) -> None:
+        client = Client(self.port)
+        while not self.done.is_set():
+            bodies = dict[int, bytes]()
+            try:
+                for n in range(3):
+                    body = b"%d %d" % (self.asked, n)
+                    bodies[client.call(self.class_name, body, unique=f"{id(self)}-{self.asked}-{n}")] = body
+                while bodies:
+                    answer = client.read()
+                    if answer is None:
+                        break
+                    body = bodies.pop(answer["id"])
+                    self.served += "result" in answer
+                    if answer.get("result", {}).get("blob") != base64.b64encode(body[::-1]).decode():
+                        self.faults.append(str(answer))
+            except OSError as fault:
+                self.faults.append(repr(fault))
+                return
+            self.asked += 1
+            if bodies:
+                self.crossed += len(bodies)
+                if len(bodies) < 3:
+                    self.faults.append("a connection ended with requests open on it")
+                client = Client(self.port)
+            time.sleep(0.002)
+
+
+class OperationTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.workers, self.names, self.folder = [Worker(), Worker()], NameServer(), tempfile.mkdtemp()
+        self.list()
+        self.program = self.start()
+
+    def list(self) -> None:
+        self.names.workers = [(f"s-{n}", worker.port, 0) for n, worker in enumerate(self.workers)]
+
+    def start(self, port: int = 0) -> Program:
+        program = node(self.workers, self.names, self.folder, port)
+        self.addCleanup(program.kill)
+        return program
+
+    def client(self) -> Client:
+        client = Client(self.program.port("platform"))
+        self.addCleanup(client.close)
+        return client
+
+    def until_ready(self, program: Program) -> None:
+        eventually(lambda: ask(program, "/v1/readyz")[0] == 200, "the yes")
+
+    def test_ready_waits_for_the_name_server(self) -> None:
+        self.names.faults = 1000 * ["lost"]
+        late = self.start()
+        self.assertEqual(ask(late, "/v1/readyz")[0], 503)
+        self.names.faults = []
+        self.until_ready(late)
+
+    def test_figures_are_what_client_and_runners_saw(self) -> None:
+        self.assertEqual(figures(self.program)['svc_success_total{tier="deck-make"}'], 0)
+        client, seen = self.client(), Counter[str]()
+        calls = [("review", b"ok")] * 5 + [("test-submit", b"error:")] * 2 + [("test-submit", b"ok")]
+        for class_name, body in calls:
+            client.call(class_name, body)
+            answer = client.read() or {}
+            seen[f"success {class_name}" if "result" in answer else f"failure {class_name}"] += 1
+        refused = self.client()
+        refused.call("review", b"full:", limit_ms=700)
+        self.assertEqual((refused.read() or {})["error"]["code"], -32050)
+        leaving = Client(self.program.port("platform"))
+        leaving.call("test-submit", b"hang:")
+        eventually(lambda: figures(self.program)["svc_inflight"] == 1, "the call in flight")
+        leaving.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        leaving.close()  # with a reset: one that ends its own side alone may still wait for its answer
+        eventually(lambda: figures(self.program)["svc_inflight"] == 0, "its end")
+        told = figures(self.program)
+        self.assertEqual(seen, {"success review": 5, "failure test-submit": 2, "success test-submit": 1})
+        for name, class_name, count in (
+            ("success", "review", 5), ("busy", "review", 1), ("failure", "review", 0),
+            ("success", "test-submit", 1), ("busy", "test-submit", 0), ("failure", "test-submit", 2),
+        ):  # fmt: skip
+            self.assertEqual(told[f'svc_{name}_total{{tier="{class_name}"}}'], count)
+        written = [line for worker in self.workers for line in worker.lines if line["kind"] == "CALL"]
+        self.assertEqual(told["svc_backend_calls_total"], len(written))
+        self.assertEqual((told["svc_hosts_listed"], told["svc_hosts_down"]), (2, 0))
+
+    def test_suspended_runner_gets_nothing_until_it_is_put_back_and_all_out_is_refused(self) -> None:
+        self.until_ready(self.program)
+        client = self.client()
+
+        def calls(count: int) -> list[dict[str, Any]]:
+            for n in range(count):
+                client.call("review", b"x", item=f"f{n}")
+            return [client.read() or {} for _ in range(count)]
+
+        calls(12)
+        self.assertTrue(all(worker.ran for worker in self.workers))
+        for _ in range(2):
+            self.assertEqual(put(self.program, "s-0", "suspend"), 204)
+        self.assertEqual(put(self.program, "s-9", "suspend"), 404)
+        before = len(self.workers[0].lines)
+        self.names.serial += 1  # a new list, on which it is ready
+        eventually(lambda: self.program.counters().get("names.lists"), "the list")
+        self.assertTrue(all("result" in answer for answer in calls(24)))
+        self.assertEqual(len(self.workers[0].lines), before)
+        self.assertEqual(figures(self.program)["svc_hosts_down"], 1)
+        put(self.program, "s-1", "suspend")
+        began = time.monotonic()
+        self.assertTrue(all(a["error"]["data"]["later"] > 0 for a in calls(5)))
+        self.assertLess(time.monotonic() - began, 3.0)  # not held until an aim of four seconds
+        self.assertEqual(put(self.program, "s-0", "resume"), 204)
+        self.assertTrue(all("result" in answer for answer in calls(5)))
+        self.assertGreater(len(self.workers[0].lines), before)
+
+    def test_a_process_is_replaced_twice_under_load_with_no_request_lost_or_run_twice(self) -> None:
+        self.until_ready(self.program)
+        port = self.program.port("platform")
+        callers = [Caller(port, name) for name in ("review", "test-submit", "deck-make") for _ in range(2)]
+        for caller in callers:
+            caller.start()
+        program = self.program
+        self.assertEqual(put(program, "s-0", "suspend"), 204)
+        for _ in range(2):
+            late = self.start(port)
+            late.find("(taking over)")
+            self.until_ready(late)
+            program.process.terminate()
+            self.assertEqual(program.process.wait(PATIENCE_S), 0)
+            program.find("(hands over)")
+            late.find("(n0: alone)")
+            self.assertEqual(figures(late)["svc_hosts_down"], 1)  # the ban holds
+            program = late
+        served = sum(caller.served for caller in callers)
+        eventually(lambda: sum(caller.served for caller in callers) > served + 50, "service by the last one")
+        for caller in callers:
+            caller.done.set()
+            caller.join(PATIENCE_S)
+        self.assertEqual([fault for caller in callers for fault in caller.faults], [])
+        ran = Counter(call["head"]["once"] for worker in self.workers for call in worker.ran)
+        self.assertEqual([once for once, count in ran.items() if count > 1], [])
+
+    def test_a_ban_told_to_either_process_holds_at_both(self) -> None:
+        self.until_ready(self.program)
+        late = self.start(self.program.port("platform"))
+        self.until_ready(late)
+        self.assertEqual(put(late, "s-0", "suspend"), 204)
+        eventually(lambda: figures(self.program)["svc_hosts_down"] == 1, "the ban at the first")
+        self.assertEqual(put(self.program, "s-0", "resume"), 204)
+        eventually(lambda: figures(late)["svc_hosts_down"] == 0, "its end at the second")
+
+    def test_a_successor_killed_before_its_yes_changes_nothing(self) -> None:
+        self.until_ready(self.program)
+        client = self.client()
+        self.names.faults = 1000 * ["lost"]
+        late = self.start(self.program.port("platform"))
+        late.find("(taking over)")
+        self.program.find("(budgets for 2 processes)")
+        late.kill()
+        self.program.find("(budgets for 1 processes)")
+        self.names.faults = []
+        client.call("review", b"abc")
+        self.assertIn("result", client.read() or {})
+        self.program.process.terminate()  # and a stop without a successor drains as ever
+        self.program.find("(asked to stop)")
+        other = self.client()
+        other.call("review", b"abc")
+        self.assertIn("result", other.read() or {})
+        self.assertEqual(self.program.process.wait(PATIENCE_S), 0)
+        self.assertFalse([line for line in self.program.log if "hands over" in line])
+
+    def test_stopped_before_its_successor_is_ready_a_process_drains_until_it_is(self) -> None:
+        self.until_ready(self.program)
+        port = self.program.port("platform")
+        client = self.client()
+        late_id = client.call("test-submit", b"hang:", limit_ms=3_000)
+        self.names.faults = 1000 * ["lost"]
+        late = self.start(port)
+        late.find("(taking over)")
+        self.program.process.terminate()
+        self.program.find("(asked to stop)")
+        client.call("review", b"abc")
+        self.assertIn("result", client.read() or {})
+        self.names.faults = []
+        self.program.find("(hands over)")
+        other = Client(port)
+        other.call("review", b"abc")
+        self.assertIn("result", other.read() or {})
+        other.close()
+        self.assertEqual((client.read() or {})["id"], late_id)  # what it owed it gave
+        self.assertEqual(self.program.process.wait(PATIENCE_S), 0)
+
+    def test_a_slow_reader_of_long_answers_gets_them_whole_and_holds_up_nobody(self) -> None:
+        self.until_ready(self.program)
+        slow = socket.create_connection(("127.0.0.1", self.program.port("platform")), timeout=PATIENCE_S)
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        self.addCleanup(slow.close)
+        for n in range(8):
+            blob = base64.b64encode(b"long:").decode()
+            told = {"txn": f"{n:016x}", "limit": 10_000, "item": ITEM, "blob": blob}
+            text = json.dumps({"jsonrpc": "2.0", "id": n + 1, "method": "review", "params": told}).encode()
+            slow.sendall(b"Content-Length: %d\r\n\r\n%b" % (len(text), text))
+        eventually(lambda: figures(self.program)['svc_success_total{tier="review"}'] == 8, "the answers")
+        client = self.client()
+        client.call("review", b"abc")
+        self.assertIn("result", client.read() or {})
+        self.program.process.terminate()  # what is owed goes out before the end
+        file, sizes = slow.makefile("rb"), list[int]()
+        for _ in range(8):
+            size = int(file.readline().split(b":")[1])
+            file.readline()
+            sizes.append(len(base64.b64decode(json.loads(file.read(size))["result"]["blob"])))
+        self.assertEqual(sizes, 8 * [230_000])
+        self.assertEqual(self.program.process.wait(PATIENCE_S), 0)
+
+    def test_agent_and_command_line_use_the_same_front(self) -> None:
+        self.until_ready(self.program)
+        folder, port = Path(tempfile.mkdtemp()), self.program.port("operator")
+        sleeps = f'command = ["{sys.executable}", "-c", "import signal; signal.pause()"]'
+        (folder / "agent.toml").write_text(
+            f'[agent]\nlisten = "127.0.0.1:0"\n[[instance]]\nname = "n0"\n{sleeps}\n'
+            f'operator = "127.0.0.1:{port}"\n[[instance]]\nname = "bare"\n{sleeps}\n'
+        )
+        agent = Program("agent", str(folder / "agent.toml"))
+        self.addCleanup(agent.kill)
+        at = ["--agent", "127.0.0.1:" + agent.find(r"agent listens on 127\.0\.0\.1:(\d+)")]
+
+        def command(*words: str) -> tuple[int, str]:
+            with contextlib.redirect_stdout(io.StringIO()) as told:
+                return main([*words, *at]), told.getvalue()
+
+        self.assertEqual(command("ready", "n0"), (0, "n0\tyes\tready\n"))
+        code, told = command("ready")
+        self.assertEqual((code, told.splitlines()[1]), (1, "bare\tno\tit has no operators' front"))
+        self.assertEqual(command("suspend", "s-0", "n0")[0], 0)
+        code, told = command("figures", "n0")
+        self.assertEqual((code, "svc_hosts_down 1" in told.splitlines()), (0, True))
+        code, told = command("suspend", "s/9", "n0")
+        self.assertEqual((code, told), (1, "n0\tno\tno runner 's/9' was ever listed\n"))
+        self.assertEqual(command("resume", "s-0", "n0")[0], 0)
+        self.assertEqual(figures(self.program)["svc_hosts_down"], 0)
