Give a worker far behind the fleet's pace one call at a time

A probe in the module counted calls by what became of them, every 2 s: 21 to 26 of 40 in flight stood at one runner, whose answers took 250 to 1,080 ms where the others took 50. Such a runner answers, and well: fits() let it have twice the mean in flight by weight, which its own calls lift.

Change: a running mean, by worker, of the logarithm of time over hint; one over three times the fleet's median is unwell while it has a call. Room in the module: two tables of facts on results go to interface.py, where core and pool took them from, and four places are said more shortly.

--- a/maplestile/core.py
+++ b/maplestile/core.py
@@ -12,8 +12,8 @@
 from typing import Protocol
 
 from maplestile import interface as api
-from maplestile.decide import NEVER_RAN, Dispatcher
-from maplestile.interface import Result
+from maplestile.decide import Dispatcher
+from maplestile.interface import NEVER_RAN, Result
 from maplestile.limits import Limits
 
 log = logging.getLogger(__name__)
--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -6,11 +6,9 @@
 from random import Random
 
 from maplestile import interface as api
-from maplestile.interface import Effect, ListKind, Result, Scope, Warmth, WorkerState
+from maplestile.interface import ANSWERS, NEVER_RAN, Effect, ListKind, Result, Scope, Warmth, WorkerState
 from maplestile.state import CACHING, MULTIPLE, SINGLE, Attempt, Call, Copy, Row, Window, Worker, Zone
 
-NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)  # the wire's proofs
-ANSWERS = (Result.OK, Result.ERROR, Result.FULL, Result.MISS, Result.MOOT)  # a worker's own word
 ELSEWHERE = (Result.MISS, Result.FULL)  # these say nothing against a further try at the same worker
 BAD = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED)  # symptoms of an unwell worker
 ANSWER_TICKS, ANSWER_US = 2, 120_000  # before the budget's end the last answer goes out: busy ones are late
@@ -36,6 +34,7 @@
 LOST_WORKERS, LOST_PROBE_US = 4, 500_000  # silent ones of a zone that nobody answers from; between probes
 DOWN_US = 1_000_000  # pause at a worker that takes no connection; each further one doubles it
 SLOW_MOVES = 2.0  # times the expected service time from which an answer sends the home elsewhere
+DRAGS = 1.1  # the logarithm of how many times the fleet's pace makes a worker slow: one call at a time there
 RETRY_SHARE, RETRY_BURST = 0.3, 20.0  # further attempts that a call earns, against storms; most saved
 RAMP_SAFETY = 0.45  # of the rule's limit that the fleet's sends to a cold worker may fill on the mean
 SPELL_US = 2_000_000  # time added to a dispatcher's life, so that its first calls do not read as a rush
@@ -62,7 +61,7 @@
         self.calls: dict[int, Call] = {}
         self.attempts: dict[tuple[int, int], tuple[Call, Attempt]] = {}
         self.timers: dict[int, Callable[[], object]] = {}
-        self.token, self.version, self.capacity, self.late = 0, 0, 1, 0.0
+        self.token, self.version, self.capacity, self.late, self.pace = 0, 0, 1, 0.0, 0.0
         self.loads: dict[Copy, Worker] = {}
         self.weights, self.retries, self.heat, self.heat_us, self.began_us = 0.0, RETRY_BURST, 0.0, 0, 0
         self.listed_us = 0
@@ -169,9 +168,7 @@
         return self.heat / min(self.now - self.began_us + SPELL_US, HEAT_KEEPS * self.keep_us / math.log(2))
 
     def on_arrival(self, event: api.CallArrived) -> None:
-        unknown = api.CallClass("", event.budget_us, event.budget_us, Effect.UNSAFE, Scope.CELL, 0)
-        kind = self.classes.get(event.class_name, unknown)
-        row = self.rows.get(event.function)
+        kind, row = self.classes[event.class_name], self.rows.get(event.function)
         if row is None:
             expected_us = self.work.get(kind.name, SERVICE_AIMS * kind.aim_us), LOAD_AIMS * kind.aim_us
             row = self.rows[event.function] = Row(event.function, digest(event.function), *expected_us)
@@ -227,8 +224,7 @@
         drawn = seats and self.random.choices(seats, [w.entry.weight for w in seats], k=CHOICES)
         drawn = [*(near if call.attempts else drawn), *([home] if home is not None and known else [])]
         fits = {w: self.fits(call, w) for w in dict.fromkeys(drawn)}  # the same ones are drawn often
-        fit = [w for w in drawn if fits[w]]
-        fit = fit or [w for w in near if (fits[w] if w in fits else self.fits(call, w))]
+        fit = [w for w in drawn if fits[w]] or [w for w in near if w not in fits and self.fits(call, w)]
         warm = [w for w in fit if (self.is_warm if call.attempts else self.presumed)(row, w)]
         if warm: return min(warm, key=lambda w: (w.busy / w.entry.weight, w is not home))
         return self.load_at(call, fit, near)
@@ -296,9 +292,9 @@
         if call.streaming or not self.running(worker) or self.now >= call.due_us: return False
         paused = (worker.full_us.get(call.group, 0), worker.full_us.get("", 0), call.row.copy(worker).full_us)
         if self.now < max(paused): return False
-        if not call.attempts: return self.ramp_allows(worker, call)
         twice = call.outstanding() and not self.set.may_duplicate
-        return not twice and self.repeatable(call, worker) and self.ramp_allows(worker, call)
+        barred = call.attempts and (twice or not self.repeatable(call, worker))
+        return not barred and self.ramp_allows(worker, call)
 
     def repeatable(self, call: Call, worker: Worker) -> bool:
         """Rule 1: where a call that went out before may ever go again."""
@@ -359,8 +355,8 @@
         worker.sends.add(self.now, self.work.get(call.kind.name, row.service_us))
         self.out.append(api.Send(call.id, worker.entry.worker, max(1, call.due_us - self.now)))
         patience_us = SILENT_SERVICES * self.expected(call) + (row.load_us if loads else 0)
-        if self.now + patience_us >= call.due_us: return  # over by then: a timer would only hold the call
-        self.timer(patience_us, lambda: self.on_silent(call, attempt))
+        if self.now + patience_us < call.due_us:  # else over by then: a timer would only hold the call
+            self.timer(patience_us, lambda: self.on_silent(call, attempt))
 
     def expected(self, call: Call) -> float:
         """A long call is no sign of a slow or silent worker: its own hint counts where it says more."""
@@ -399,6 +395,8 @@
         late = self.now > call.since_us + call.kind.aim_us
         if stood or not late: self.learn_late(call, late)
         if stood:
+            usual_us = call.hint_us or row.service_us
+            worker.pace += LEARN * (math.log(max(1, event.elapsed_us) / usual_us) - worker.pace)
             row.service_us += LEARN * (event.elapsed_us - row.service_us)
             self.work[name] = (1 - LEARN) * self.work.get(name, row.service_us) + LEARN * event.elapsed_us
         elif event.warmth is not Warmth.UNTOLD or copy.loading_us:
@@ -526,6 +524,7 @@
         return value * self.faded(since_us, SICK_KEEPS)
 
     def well(self, call: Call, worker: Worker) -> bool:
+        if worker.busy and worker.pace > self.pace + DRAGS: return False
         return not worker.sick or max(self.suspicion(worker, g) for g in (call.group, "")) < SICK_AT
 
     def avoids(self, worker: Worker) -> bool:
@@ -535,6 +534,7 @@
 
     def sweep(self) -> None:
         self.timer(self.keep_us / SWEEPS, self.sweep)
+        self.pace = sorted([0.0, *(w.pace for w in self.workers.values())])[(len(self.workers) + 1) // 2]
         for zone in [z for z in self.zones.values() if z.lost and self.now >= z.probe_us]:
             zone.probe_us = self.now + LOST_PROBE_US
             there = [w for w in self.workers.values() if w.entry.zone == zone.name and self.running(w)]
--- a/maplestile/interface.py
+++ b/maplestile/interface.py
@@ -49,6 +49,10 @@
     MISS = "miss"
 
 
+NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)  # the wire's proofs
+ANSWERS = (Result.OK, Result.ERROR, Result.FULL, Result.MISS, Result.MOOT)  # a worker's own word
+
+
 class Warmth(Enum):
     """What an outcome tells of the copy that the attempt met."""
 
--- a/maplestile/net/runners.py
+++ b/maplestile/net/runners.py
@@ -11,9 +11,8 @@
 from dataclasses import dataclass, field
 
 from maplestile.core import AttemptId, Core, Request
-from maplestile.decide import NEVER_RAN
 from maplestile.fleet import Address, Fleet
-from maplestile.interface import Result, WorkerState
+from maplestile.interface import NEVER_RAN, Result, WorkerState
 from maplestile.limits import Limits
 from maplestile.net import reads
 from maplestile.wire import runner as wire
--- a/maplestile/state.py
+++ b/maplestile/state.py
@@ -51,6 +51,7 @@
     salt: int
     busy: int = 0
     reset_us: int = 0
+    pace: float = 0.0  # logarithm of its answers' time over what was expected of them, a running mean
     copies: dict[str, Copy] = field(default_factory=dict)
     sick: dict[str, tuple[float, int]] = field(default_factory=dict)
     heard_us: dict[str, int] = field(default_factory=dict)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -509,3 +509,34 @@
     d.run(2_000 * MS)
     (at,) = [t for t, a in d.log if isinstance(a, api.Fail)]
     assert at <= began + 900 * MS
+
+
+def test_worker_far_behind_the_fleets_pace_gets_one_call_at_a_time() -> None:
+    """Its answers come, only late: no symptom of those that silent or failing workers show."""
+    d = Driver(settings(dispatchers=1), [entry(name) for name in "abcd"])
+    number, slow_us = 0, 400 * MS
+
+    def call(function: str) -> api.Send:
+        nonlocal number
+        number += 1
+        (send,) = sends(d.give(replace(arrival(number, function), cost_us=20 * MS)))
+        return send
+
+    def answer(send: api.Send, elapsed_us: int) -> None:
+        d.now += 5 * MS
+        d.give(ended(send.call, 0, send.worker, api.Result.OK, elapsed_us))
+
+    for _ in range(3):
+        for n in range(60):
+            send = call(f"f{n}")
+            answer(send, slow_us if send.worker == "a" else 20 * MS)
+        d.run(500 * MS)
+    out = [call(f"f{n}") for n in range(24)]
+    assert [s.worker for s in out].count("a") <= 1
+    for send in out:
+        answer(send, 20 * MS)
+    for _ in range(6):  # it answers as the others do again
+        for n in range(60):
+            answer(call(f"g{n}"), 20 * MS)
+        d.run(500 * MS)
+    assert [call(f"g{n}").worker for n in range(24)].count("a") > 1
