Have loads refuse nobody else, and spare a worker that has no room for one

The probe of what became of calls: of 600 in 2 s, 190 refused at their arrival with the late share at 0.40, while hardly any call that met a copy was late (6 of 120). finish() counted every call given up past its aim, also those never sent and those that waited for loads. And 1,240 full answers in 5 s: loads that found a runner's queue of loads full barred only their own function there, so all others tried it, too.

Change: learn_late takes no late sample of a call that met no standing copy; a full answer to a load bars all loads at that worker for a part of a load's time.

--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -176,9 +176,8 @@
         # In overload an answer past its aim is given up: its place goes to a call that can still be in time.
         hurried = self.late > SHED_AT and kind.effect is Effect.SAFE and kind.late_worth < LATE_WORTH
         budget_us = min(event.budget_us, kind.aim_us) if hurried else event.budget_us
-        spare_us = min(ANSWER_US, int(min(1.0, budget_us / ANSWER_FULL_US) * budget_us) // 10)
-        spare_us = max(ANSWER_TICKS * self.set.tick_us, spare_us)
-        due_us = self.now + max(0, budget_us - spare_us)
+        tenth_us = int(min(1.0, budget_us / ANSWER_FULL_US) * budget_us) // 10
+        due_us = self.now + max(0, budget_us - max(ANSWER_TICKS * self.set.tick_us, min(ANSWER_US, tenth_us)))
         call = Call(event.call, row, kind, f"{kind.name} {event.tenant}", self.now, due_us, event.cost_us)
         self.calls[call.id] = call
         self.arrivals.add(self.now)
@@ -290,7 +289,8 @@
     def may_send(self, call: Call, worker: Worker) -> bool:
         """One gate before every send, retry and second copy: rules 1 to 4."""
         if call.streaming or not self.running(worker) or self.now >= call.due_us: return False
-        paused = (worker.full_us.get(call.group, 0), worker.full_us.get("", 0), call.row.copy(worker).full_us)
+        load_us = 0 if self.is_warm(call.row, worker) or call.row.copy(worker).loading_us else worker.laden_us
+        paused = (worker.full_us.get(call.group, 0), worker.full_us.get("", 0), load_us)
         if self.now < max(paused): return False
         twice = call.outstanding() and not self.set.may_duplicate
         barred = call.attempts and (twice or not self.repeatable(call, worker))
@@ -393,7 +393,7 @@
         stood = not attempt.loads if event.warmth is Warmth.UNTOLD else event.warmth is Warmth.STOOD
         slow = stood and event.elapsed_us > SLOW_MOVES * self.expected(call)
         late = self.now > call.since_us + call.kind.aim_us
-        if stood or not late: self.learn_late(call, late)
+        self.learn_late(call, late)
         if stood:
             usual_us = call.hint_us or row.service_us
             worker.pace += LEARN * (math.log(max(1, event.elapsed_us) / usual_us) - worker.pace)
@@ -406,8 +406,9 @@
         row.home = "" if slow else worker.entry.worker
 
     def learn_late(self, call: Call, late: bool) -> None:
-        # What silent workers made late tells of these, and of no overload.
-        if any(a.result not in ANSWERS and self.unheard(a) for a in call.attempts): return
+        # What silent workers or loads made late tells of these, and of no overload.
+        silent = any(a.result not in ANSWERS and self.unheard(a) for a in call.attempts)
+        if silent or (late and all(a.loads for a in call.attempts)): return
         self.late += min(LATE_LEARN, call.row.service_us / (LATE_US * self.rate())) * (late - self.late)
 
     def again(self, call: Call, result: Result) -> None:
@@ -488,10 +489,10 @@
 
     def judge(self, call: Call, attempt: Attempt, event: api.AttemptEnded) -> None:
         """Symptoms by worker and group, a class of one tenant: some troubles hit one and spare the others."""
-        worker, copy = attempt.worker, call.row.copy(attempt.worker)
+        worker = attempt.worker
         if event.result is Result.FULL and attempt.loads:
-            # No room for one more load there: that bars this function, and no call of what stands loaded.
-            copy.full_us, call.row.home = self.now + int(FULL_LOADS * call.row.load_us), ""
+            # No room for one more load there: that bars loads, and no call of what stands loaded.
+            worker.laden_us, call.row.home = self.now + int(FULL_LOADS * call.row.load_us), ""
         elif event.result is Result.FULL:
             self.pause(worker, call.group, FULL_SERVICES * call.row.service_us)
             call.row.home = ""
@@ -543,10 +544,9 @@
         for row in [*self.lists[CACHING].values(), *self.lists[MULTIPLE].values()] if draining else []:
             if row.home in draining: self.move(row)
         for row in self.lists[CACHING].values():
-            home = self.workers.get(row.home)
-            if home is None or row.copy(home).busy or not self.is_warm(row, home): continue
-            if self.used_by_others(row): continue  # forty routers renewed the same copies
-            if self.now >= row.copy(home).used_us + HOLD_LEAD * self.keep_us: self.order(row, home, True)
+            w = self.workers.get(row.home)  # what others use is theirs to keep: forty routers renewed it
+            if w is None or row.copy(w).busy or not self.is_warm(row, w) or self.used_by_others(row): continue
+            if self.now >= row.copy(w).used_us + HOLD_LEAD * self.keep_us: self.order(row, w, True)
 
     def move(self, row: Row) -> None:
         seat = next(iter(self.ranked(row)), None)
--- a/maplestile/state.py
+++ b/maplestile/state.py
@@ -38,7 +38,6 @@
     loading_us: int = 0
     ordered: bool = False
     absent_us: int = 0
-    full_us: int = 0
     seated_us: int = 0  # since when a seat, if a change of the list made it one
 
 
@@ -51,6 +50,7 @@
     salt: int
     busy: int = 0
     reset_us: int = 0
+    laden_us: int = 0  # until when it gets no call that needs a load
     pace: float = 0.0  # logarithm of its answers' time over what was expected of them, a running mean
     copies: dict[str, Copy] = field(default_factory=dict)
     sick: dict[str, tuple[float, int]] = field(default_factory=dict)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -4,7 +4,7 @@
 
 from maplestile import interface as api
 from maplestile.decide import LATER_US
-from maplestile.state import CACHING, MULTIPLE, SINGLE, Call, Worker
+from maplestile.state import CACHING, MULTIPLE, SINGLE, Attempt, Call, Worker
 from tests.helpers import MS, Driver, arrival, ended, entry, finals, fleet, sends, settings
 
 WORKERS = [entry(f"w{i}") for i in range(4)]
@@ -540,3 +540,31 @@
             answer(call(f"g{n}"), 20 * MS)
         d.run(500 * MS)
     assert [call(f"g{n}").worker for n in range(24)].count("a") > 1
+
+
+def test_calls_that_only_loads_made_late_have_no_others_refused() -> None:
+    """After a release half of the functions wait for loads; the others' copies stand, and answer in time."""
+    d = Driver(settings(dispatchers=1), WORKERS[:1])
+    served(d, 1, "f")
+    dispatcher, now = d.dispatcher, d.now
+    row, worker = dispatcher.rows["f"], dispatcher.workers["w0"]
+    for attempts, counts in (
+        ([], False),  # never sent: it waited for a load
+        ([Attempt(0, worker, now, True, api.Result.FULL), Attempt(1, worker, now, True)], False),
+        ([Attempt(0, worker, now, True), Attempt(1, worker, now, False, api.Result.OK)], True),
+    ):
+        dispatcher.late = 0.0
+        call = Call(2, row, dispatcher.classes["safe"], "safe ", now, now, 0, attempts)
+        worker.heard_us[""] = now + 1  # it is not silent
+        dispatcher.learn_late(call, True)
+        assert (dispatcher.late > 0) == counts
+
+
+def test_worker_without_room_for_a_load_is_spared_further_loads_and_no_call_of_what_stands() -> None:
+    d = Driver(settings(dispatchers=1), WORKERS[:1])
+    home = served(d, 1, "stands")
+    (send,) = sends(d.give(arrival(2, "a")))
+    d.give(ended(2, 0, send.worker, api.Result.FULL, MS))
+    assert not sends(d.give(arrival(3, "b")))  # any function's load would meet the same queue
+    assert [s.worker for s in sends(d.give(arrival(4, "stands")))] == [home]
+    assert {s.call for s in sends(d.run(500 * MS))} >= {2}  # and is tried again soon
