Count a process's end from SIGTERM, and hand over to nobody who was told to stop

Need, seen on reading the handover again: where the successor says yes only after SIGTERM, the end of the old process was counted from the yes, which may lie beyond SIGKILL; and a successor that was itself asked to stop was still handed over to until its lock fell.

Change: the time of SIGTERM goes into the handover; a successor that is told to stop takes its mark back.

--- a/maplestile/__main__.py
+++ b/maplestile/__main__.py
@@ -282,12 +282,15 @@
     async def _drain(self, fronts: list[Listener]) -> None:
         """Go on serving what comes; clients hear of the end late. Leave when nothing is owed."""
         log.info("%s was asked to stop; %d requests open", self.name, len(self.core.open))
-        until = clock() + self.limits.drain_least_us
+        told_us = clock()
+        until = told_us + self.limits.drain_least_us
+        if self.handover is not None:
+            self.handover.leaving()
         while clock() < until or self._owes():
             if self.handover is not None:
                 self._look(self.handover)
                 if self._handing_over() and self.platform is not None:
-                    return await self._hand_over(self.platform, fronts)
+                    return await self._hand_over(self.platform, fronts, told_us)
             await asyncio.sleep(DRAIN_LOOK_S)
         await asyncio.sleep(DRAIN_LOOK_S)  # the invoke front has yet to write the last answers
         log.info("%s stops; nothing is owed", self.name)
@@ -296,12 +299,12 @@
     def _owes(self) -> bool:
         return bool(self.core.open) or self.platform is not None and self.platform.owes()
 
-    async def _hand_over(self, platform: Platform, fronts: list[Listener]) -> None:
+    async def _hand_over(self, platform: Platform, fronts: list[Listener], told_us: int) -> None:
         """Another process takes the new connections; those that stand here end one by one, once quiet."""
         log.info("%s hands over; %d connections stand", self.name, len(platform.clients))
         limits, began = self.limits, clock()
         longest_us = max(kind.deadline_us for kind in self.core.settings.classes)
-        self.core.leave_us = began + limits.kill_after_us(longest_us) - limits.handover_spare_us
+        self.core.leave_us = told_us + limits.kill_after_us(longest_us) - limits.handover_spare_us
         for front in fronts[1:]:  # the operators' own stays
             await front.finish()
         while self._owes() or platform.stand():
--- a/maplestile/operation/folder.py
+++ b/maplestile/operation/folder.py
@@ -66,6 +66,7 @@
     def mark(self, name: str, mark: bytes) -> None:
         """Something for others to read while the lock is held."""
         os.pwrite(self.mine[name], mark, 0)
+        os.truncate(self.mine[name], len(mark))
 
     def marked(self, name: str, mark: bytes) -> bool:
         try:
--- a/maplestile/operation/handover.py
+++ b/maplestile/operation/handover.py
@@ -55,3 +55,8 @@
         """This process can serve: its predecessor may go."""
         if self.stage is Stage.TAKING:
             self.locks.mark(NEXT, READY)
+
+    def leaving(self) -> None:
+        """This process was asked to stop: nobody may hand over to it any more."""
+        if self.stage is Stage.TAKING:
+            self.locks.mark(NEXT, b"")
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -132,3 +132,16 @@
     rig.core.attempt_ended((calls[1], 0), Result.OK, b"x")
     rig.run(2_000_000)
     assert rig.core.open_bytes == 0 and not rig.core.open
+
+
+def test_process_that_ends_soon_answers_all_it_takes_before_and_refuses_what_comes_too_late() -> None:
+    rig = Rig(handover_least_us=250_000)
+    rig.core.leave_us = START + 1_000_000
+    rig.submit(budget_us=5_000_000)
+    rig.submit(budget_us=500_000)
+    assert len(rig.sent) == 2
+    rig.run(800_000)
+    rig.submit(budget_us=5_000_000)
+    assert (rig.answers[-1].verdict, rig.answers[-1].retry_after_us) == (Verdict.REFUSED, 0)
+    rig.run(200_000)
+    assert len(rig.answers) == 3 and not rig.core.open
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -263,6 +263,16 @@
         first.look()
         self.assertEqual((second.stage, first.successor_ready), (Stage.TAKING, False))
 
+    def test_nobody_hands_over_to_a_successor_that_was_asked_to_stop_itself(self) -> None:
+        first, _ = self.process()
+        second, _ = self.process()
+        second.ready()
+        first.look()
+        self.assertTrue(first.successor_ready)
+        second.leaving()
+        first.look()
+        self.assertEqual((first.successor, first.successor_ready), (True, False))
+
     def test_budgets_are_divided_while_two_live(self) -> None:
         told = settings()
         for descriptors in (256, 384, 1024):
