Share the clients' address also where the folder for the handover is of no use

Cause, seen on reading and shown by a test: with a $TMPDIR that cannot be used the first process listened without SO_REUSEPORT, so that the second one ended at the taken address, and bans in it could not be tried at all.

Change: the address is shared wherever operators have one of theirs, locks or not; the handover alone needs the folder.

--- a/maplestile/__main__.py
+++ b/maplestile/__main__.py
@@ -185,7 +185,9 @@
         fronts = list[Listener]()
         if self.config.listen is not None:
             self.platform = Platform(self.core, self.limits, self.counters, self._received, self._ready)
-            fronts.append(await self.platform.start(*self.config.listen, self.handover is not None))
+            # Also where the folder is of no use: two processes that cannot hand over may still serve in turn.
+            shared = self.config.operation is not None and self.config.operator is None
+            fronts.append(await self.platform.start(*self.config.listen, shared))
             self._listens("platform", fronts[-1])
         if (operator := self.config.operator) is not None:
             from maplestile.invoke.api import Api
--- a/tests/test_process_operation.py
+++ b/tests/test_process_operation.py
@@ -195,6 +195,22 @@
         self.assertEqual(put(self.program, "s-0", "resume"), 204)
         eventually(lambda: figures(late)["svc_hosts_down"] == 0, "its end at the second")
 
+    def test_without_a_folder_of_use_two_processes_still_serve_side_by_side(self) -> None:
+        with tempfile.NamedTemporaryFile() as file:
+            self.folder = file.name  # a file, where a folder is due
+            first = self.start()
+            first.find("(cannot be replaced while it serves)")
+            late = self.start(first.port("platform"))
+            for program in (first, late):
+                self.until_ready(program)
+                self.assertEqual(put(program, "s-0", "suspend"), 204)  # it holds in this process
+                self.assertEqual(figures(program)["svc_hosts_down"], 1)
+            first.process.terminate()
+            self.assertEqual(first.process.wait(PATIENCE_S), 0)
+            client = Client(late.port("platform"))
+            client.served("review", b"abc")
+            client.close()
+
     def test_a_successor_killed_before_its_yes_changes_nothing(self) -> None:
         self.until_ready(self.program)
         client = self.client()
