Say the fronts, the listener's end, the handover and the agent's calls more simply

- Http asked its application for its bounds four to six times a request, and each made them anew: they are made at the start and at a reload, as an attribute.
- may_send looked for a copy at every worker, to use it only where one is laden: now only there.
- Listener.finish had two loops and a count where one loop does: each accept is followed by a wait, and the close follows the empty queue with none between.
- Spec.reloads said again whether there is a file; agent.OPERATE wrote the paths of operation/api.py again, and the match its names.
- The operators' listener was told from the others by its place in a list; the end of a drain stood twice.
- Counters are merged without Counter.__add__, which drops those at 0; the question whether a runner was ever listed stands once; a test's docstring promised a resend that its client does not make.

--- a/maplestile/__main__.py
+++ b/maplestile/__main__.py
@@ -25,12 +25,11 @@
 from maplestile.net.platform import Platform
 from maplestile.net.runners import Runners
 from maplestile.net.stamps import StampedSelector
-from maplestile.operation.handover import Stage
+from maplestile.operation.handover import Handover, Stage
 
 if TYPE_CHECKING:  # a process loads only the fronts that are set up
     from maplestile.invoke.api import Api
     from maplestile.operation.bans import Bans
-    from maplestile.operation.handover import Handover
 
 log = logging.getLogger("maplestile")
 SWEEP_S, DRAIN_LOOK_S = 1.0, 0.02
@@ -112,19 +111,20 @@
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.collector.start()
-        fronts = await self._operation()
+        operation = await self._operation()
         self._changed(ListKind.CACHED)
         parts = [self._start(self._sweep())]
         self._ask_names()
         if self.handover is not None:
             parts.append(self._start(self._follow(self.handover)))
             await self._succeed(self.handover)
-        fronts += await self._listen()
+        fronts = await self._listen()
         self.listening = True
         await self.stopping.wait()
         await self._drain(fronts)
-        for front in fronts:
-            front.close()
+        for front in (*fronts, operation):
+            if front is not None:
+                front.close()
         for part in (*parts, self.asking):
             if part is not None:
                 part.cancel()
@@ -199,17 +199,16 @@
             self._listens("invoke", fronts[-1])
         return fronts
 
-    async def _operation(self) -> list[Listener]:
+    async def _operation(self) -> Listener | None:
         """The operators' front, which answers before the others stand; and what is shared with the process
         before this one."""
         if self.config.operation is None:
-            return []
+            return None
         from maplestile.net.http import Http
         from maplestile.operation.api import OperatorApi
         from maplestile.operation.bans import Bans
         from maplestile.operation.desk import Desk
         from maplestile.operation.folder import Locks, Markers
-        from maplestile.operation.handover import Handover
 
         folder = self.config.folder
         markers = Markers(folder / "suspended") if folder is not None else None
@@ -225,7 +224,7 @@
         http = Http("operator", OperatorApi(desk, self.limits), self.counters, self._received)
         front = await http.start(*self.config.operation)
         self._listens("operator", front)
-        return [front]
+        return front
 
     def _listens(self, front: str, listener: Listener) -> None:
         (host, port), known = listener.address, len(self.fleet.entries)
@@ -233,7 +232,7 @@
 
     # Replacing the process.
 
-    async def _succeed(self, handover: "Handover") -> None:
+    async def _succeed(self, handover: Handover) -> None:
         """Where another process serves, clients are taken only once this one serves as well."""
         if handover.stage is Stage.ALONE:
             return
@@ -243,13 +242,13 @@
                 return
             await asyncio.sleep(DRAIN_LOOK_S)
 
-    async def _follow(self, handover: "Handover") -> None:
+    async def _follow(self, handover: Handover) -> None:
         """Look now and then at what the other process of an upgrade does and was told."""
         while True:
             self._look(handover)
             await asyncio.sleep(self.limits.folder_look_us / 1e6)
 
-    def _look(self, handover: "Handover") -> None:
+    def _look(self, handover: Handover) -> None:
         assert self.bans is not None
         self.bans.look()
         before = handover.stage
@@ -292,11 +291,12 @@
             if self.handover is not None:
                 self._look(self.handover)
                 if self._handing_over() and self.platform is not None:
-                    return await self._hand_over(self.platform, fronts, told_us)
+                    await self._hand_over(self.platform, fronts, told_us)
+                    break
             await asyncio.sleep(DRAIN_LOOK_S)
-        await asyncio.sleep(DRAIN_LOOK_S)  # the invoke front has yet to write the last answers
+        else:
+            await asyncio.sleep(DRAIN_LOOK_S)  # the invoke front has yet to write the last answers
         log.info("%s stops; nothing is owed", self.name)
-        return None
 
     def _owes(self) -> bool:
         return bool(self.core.open) or self.platform is not None and self.platform.owes()
@@ -307,7 +307,7 @@
         limits, began = self.limits, clock()
         longest_us = max(kind.deadline_us for kind in self.core.settings.classes)
         self.core.leave_us = told_us + limits.kill_after_us(longest_us) - limits.handover_spare_us
-        for front in fronts[1:]:  # the operators' own stays
+        for front in fronts:
             await front.finish()
         while self._owes() or platform.stand():
             await asyncio.sleep(DRAIN_LOOK_S)
@@ -316,14 +316,13 @@
         until = clock() + limits.handover_linger_us
         while platform.clients and clock() < until:  # what crossed the end is read away
             await asyncio.sleep(DRAIN_LOOK_S)
-        log.info("%s stops; nothing is owed", self.name)
 
     def print_counters(self) -> None:
         answers = Counter[str]()
         self.counters["loop.longest_us"] = int(self.selector.busiest_s * 1e6)
         for (_, verdict), count in self.core.answers.items():
             answers[f"answers.{verdict.value}"] += count
-        told = {name: count for name, count in sorted((self.counters + answers).items())}
+        told = dict(sorted({**self.counters, **answers}.items()))
         print(json.dumps({"counters": told}), file=sys.stderr, flush=True)
 
 
--- a/maplestile/agent.py
+++ b/maplestile/agent.py
@@ -19,14 +19,15 @@
 from maplestile.config import address
 from maplestile.invoke.operator import OperatorError, Table
 from maplestile.invoke.operator import load as load_operator
+from maplestile.operation.api import METRICS, READY
 from maplestile.operation.client import CallError, call
 
 log = logging.getLogger("maplestile.agent")
 LINE_BYTES, ASK_S, ANSWER_S = 65_536, 60.0, 3.0
 ANSWER_BYTES = 1 << 20  # figures of many instances
 OPERATE = {
-    "ready": ("GET", "/v1/readyz"),
-    "figures": ("GET", "/v1/metrics"),
+    "ready": ("GET", READY),
+    "figures": ("GET", METRICS),
     "suspend": ("PUT", "/v1/runners/{}/suspend"),
     "resume": ("PUT", "/v1/runners/{}/resume"),
 }
@@ -37,9 +38,13 @@
     name: str
     command: tuple[str, ...]
     environment: tuple[tuple[str, str], ...]
-    reloads: bool  # a router of this program: to another command SIGHUP may mean its end
-    file: Path | None = None  # of such a router
-    operator: str = ""  # where operators call it, where no file tells that
+    file: Path | None  # of a router of this program
+    operator: str  # where operators call it, where no file tells that
+
+    @property
+    def reloads(self) -> bool:
+        """To another command than this program's router SIGHUP may mean its end."""
+        return self.file is not None
 
 
 @dataclass(slots=True, frozen=True)
@@ -92,7 +97,7 @@
         raise OperatorError(f"{table.path}.env: must be a table of texts")
     table.end()
     path = folder / file if file else None
-    return Spec(name, tuple(command), tuple(environment.items()), bool(file), path, operator)
+    return Spec(name, tuple(command), tuple(environment.items()), path, operator)
 
 
 class Instance:
@@ -304,20 +309,20 @@
             case "counters" | "reload":
                 asks = (i.count() if do == "counters" else i.reload() for i in chosen)
                 return {do: dict(zip(names, await asyncio.gather(*asks), strict=True))}
-            case "ready" | "figures" | "suspend" | "resume":
-                if do in ("suspend", "resume") and not isinstance(asked.get("runner"), str):
+            case str() if do in OPERATE:
+                (method, path), runner = OPERATE[do], asked.get("runner")
+                if isinstance(runner, str):
+                    path = path.format(quote(runner, safe=""))
+                elif "{}" in path:
                     return {"error": f"'{do}' needs a runner"}
-                told = OPERATE[do][0], OPERATE[do][1].format(quote(asked.get("runner", ""), safe=""))
-                answers = await asyncio.gather(*(instance.operate(*told) for instance in chosen))
+                answers = await asyncio.gather(*(instance.operate(method, path) for instance in chosen))
                 return {do: dict(zip(names, answers, strict=True))}
             case _:
                 return {"error": f"no command '{do}'"}
         return {"instances": {instance.spec.name: instance.status() for instance in chosen}}
 
 
-async def ask(
-    where: tuple[str, int], do: str, names: list[str], **more: str
-) -> dict[str, Any]:
+async def ask(where: tuple[str, int], do: str, names: list[str], **more: str) -> dict[str, Any]:
     """What the command line asks of a running agent."""
     reader, writer = await asyncio.open_connection(*where, limit=ANSWER_BYTES)
     try:
--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -289,9 +289,9 @@
     def may_send(self, call: Call, worker: Worker) -> bool:
         """One gate before every send, retry and second copy: rules 1 to 4."""
         if call.streaming or not self.running(worker) or self.now >= call.due_us: return False
-        load_us = 0 if self.is_warm(call.row, worker) or call.row.copy(worker).loading_us else worker.laden_us
-        paused = (worker.full_us.get(call.group, 0), worker.full_us.get("", 0), load_us)
-        if self.now < max(paused): return False
+        row, paused_us = call.row, max(worker.full_us.get(call.group, 0), worker.full_us.get("", 0))
+        room = self.now >= worker.laden_us or self.is_warm(row, worker) or row.copy(worker).loading_us
+        if self.now < paused_us or not room: return False
         twice = call.outstanding() and not self.set.may_duplicate
         barred = call.attempts and (twice or not self.repeatable(call, worker))
         return not barred and self.ramp_allows(worker, call)
--- a/maplestile/invoke/api.py
+++ b/maplestile/invoke/api.py
@@ -26,6 +26,7 @@
         self.core, self.operator, self.counters = core, operator, counters
         self.store = Store(operator.records, operator.record_us, core.at, counters)
         self.in_hand: Counter[str] = Counter()
+        self.bounds = self._bounds()
 
     def reload(self, new: Operator) -> bool:
         """Take what a new file tells of this front; true if that was something else than before.
@@ -39,9 +40,10 @@
             functions=new.functions if same else old.functions,
         )  # fmt: skip
         self.store.most, self.store.keep_us = new.records, new.record_us
+        self.bounds = self._bounds()
         return self.operator != old
 
-    def bounds(self) -> Bounds:
+    def _bounds(self) -> Bounds:
         told, limits = self.operator, self.core.limits
         return Bounds(
             told.connections, told.idle_s, limits.http_request_us, told.body_bytes, limits.http_linger_us,
--- a/maplestile/net/http.py
+++ b/maplestile/net/http.py
@@ -40,7 +40,7 @@
 
     @property
     def bounds(self) -> Bounds:
-        return self.app.bounds()  # a reload may have changed them
+        return self.app.bounds
 
     def count(self, what: str) -> None:
         self.counters[f"{self.front}.{what}"] += 1
--- a/maplestile/net/listen.py
+++ b/maplestile/net/listen.py
@@ -9,8 +9,8 @@
 
 
 class Listener:
-    def __init__(self, listener: socket.socket, serve: Serve, read_bytes: int, burst: int) -> None:
-        self.socket, self.serve, self.read_bytes, self.burst = listener, serve, read_bytes, burst
+    def __init__(self, listener: socket.socket, serve: Serve, read_bytes: int) -> None:
+        self.socket, self.serve, self.read_bytes = listener, serve, read_bytes
         self.server: asyncio.Server | None = None
 
     @property
@@ -25,20 +25,15 @@
     async def finish(self) -> None:
         """Accept all that waits, and close with the queue empty: what a closed queue holds is reset."""
         asyncio.get_running_loop().remove_reader(self.socket)
-        waiting = 1
-        while waiting:
-            waiting = 0
+        while True:
             try:
-                while waiting < self.burst:
-                    peer, _ = self.socket.accept()
-                    waiting += 1
-                    await self._adopt(peer)
+                peer, _ = self.socket.accept()
             except BlockingIOError:
-                if not waiting:
-                    break
+                break  # and nothing is awaited between this and the close
             except OSError:
-                waiting = 1
                 await asyncio.sleep(FULL_S)
+            else:
+                await self._adopt(peer)
         self.close()
 
     async def _adopt(self, peer: socket.socket) -> None:
@@ -61,7 +56,7 @@
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     if shared:
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-    listener = Listener(raw, serve, read_bytes, burst)
+    listener = Listener(raw, serve, read_bytes)
     try:
         raw.bind(local)
         listener.server = await asyncio.start_server(serve, sock=raw, limit=read_bytes, backlog=burst)
--- a/maplestile/operation/api.py
+++ b/maplestile/operation/api.py
@@ -11,6 +11,7 @@
 
 RUNNER = re.compile(r"/v1/runners/([^/]+)/(suspend|resume)")
 READY, METRICS = "/v1/readyz", "/v1/metrics"
+PLAIN = (("Content-Type", "text/plain; charset=utf-8"),)
 
 
 class Router(Protocol):
@@ -31,12 +32,8 @@
 
 class OperatorApi:
     def __init__(self, router: Router, limits: Limits) -> None:
-        self.router, self.limits = router, limits
-
-    def bounds(self) -> Bounds:
-        limits = self.limits
-        whole_us = limits.operator_request_us
-        return Bounds(
+        self.router, whole_us = router, limits.operator_request_us
+        self.bounds = Bounds(
             limits.operator_connections, whole_us / 1e6, whole_us, limits.operator_body_bytes,
             limits.operator_linger_us, limits.accept_burst, one_call=True,
         )  # fmt: skip
@@ -69,6 +66,3 @@
         if not change(runner):
             raise Refused(problem(404, f"no runner '{runner}' was ever listed"))
         return Response(204)
-
-
-PLAIN = (("Content-Type", "text/plain; charset=utf-8"),)
--- a/maplestile/operation/bans.py
+++ b/maplestile/operation/bans.py
@@ -39,7 +39,7 @@
 
     def suspend(self, runner: str) -> bool:
         """False for one that was never listed. What the shelf does not take holds in this process."""
-        if runner not in self.known and runner not in self.banned:
+        if not self._was_listed(runner):
             return False
         self.counters["operation.suspends"] += 1
         log.info("runner %s is suspended", runner)
@@ -48,7 +48,7 @@
         return True
 
     def resume(self, runner: str) -> bool:
-        if runner not in self.known and runner not in self.banned:
+        if not self._was_listed(runner):
             return False
         self.counters["operation.resumes"] += 1
         log.info("runner %s is put back", runner)
@@ -75,6 +75,9 @@
             self._save(runner)
         self._set(frozenset(found | self.unsaved))
 
+    def _was_listed(self, runner: str) -> bool:
+        return runner in self.known or runner in self.banned
+
     def _save(self, runner: str) -> None:
         self.unsaved.add(runner)
         if self.shelf is None:
--- a/maplestile/wire/http.py
+++ b/maplestile/wire/http.py
@@ -41,7 +41,7 @@
 class Application(Protocol):
     """What a front answers by; it knows no socket."""
 
-    def bounds(self) -> Bounds: ...
+    bounds: Bounds  # read at each use: a reload may change them
 
     def handle(self, request: HttpRequest, respond: Callable[[Response], None]) -> Callable[[], None]:
         """Answer through `respond`, once; what is returned is called if the caller leaves first."""
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -14,7 +14,7 @@
     async def test_request_that_is_not_whole_in_its_time_gets_408_and_a_close(self) -> None:
         counters = Counter[str]()
         bounds = Bounds(2, 60.0, 100_000, 100, 100_000, 16)
-        api = SimpleNamespace(bounds=lambda: bounds)
+        api = SimpleNamespace(bounds=bounds)
         server = await Http("invoke", cast(Application, api), counters, lambda: 0).start("127.0.0.1", 0)
         async with asyncio.timeout(20):
             reader, writer = await asyncio.open_connection(*server.address)
--- a/tests/test_process_operation.py
+++ b/tests/test_process_operation.py
@@ -40,7 +40,7 @@
 
 class Caller(threading.Thread):
     """A client that keeps calling on one connection, some at a time, until told to stop. A connection that
-    ends with nothing open on it is replaced; its last request goes again if it crossed that end."""
+    ends with nothing open on it is replaced; requests that crossed that end are counted."""
 
     def __init__(self, port: int, class_name: str) -> None:
         super().__init__(daemon=True)
