Add membership among instances: SWIM with Lifeguard, UDP driver, model

`net/peers.py` is its UDP driver; `GET /v1/members` and the agent's `members` show the view. `model/` runs the same machine on simpy from a typed file, for up to 2000 members.

--- a/maplestile/__main__.py
+++ b/maplestile/__main__.py
@@ -29,6 +29,7 @@
 
 if TYPE_CHECKING:  # a process loads only the fronts that are set up
     from maplestile.invoke.api import Api
+    from maplestile.net.peers import Peers
     from maplestile.operation.bans import Bans
 
 log = logging.getLogger("maplestile")
@@ -64,6 +65,7 @@
         self.bans: Bans | None = None
         self.handover: Handover | None = None
         self.current = False
+        self.peers: Peers | None = None
 
     def _ready(self) -> bool:
         """To clients: the router serves, be it by the process that takes over."""
@@ -114,6 +116,13 @@
         operation = await self._operation()
         self._changed(ListKind.CACHED)
         parts = [self._start(self._sweep())]
+        if (plan := self.config.peers) is not None:
+            from maplestile.net.peers import Peers
+
+            self.peers = Peers(
+                self.name, plan.listen, list(plan.seeds), plan.tuning, self.config.seed, self.counters
+            )
+            parts.append(self._start(self.peers.run()))
         self._ask_names()
         if self.handover is not None:
             parts.append(self._start(self._follow(self.handover)))
@@ -220,7 +229,10 @@
                 self.handover = Handover(Locks(folder))
             except OSError as fault:
                 log.warning("%s cannot be replaced while it serves: %s", self.name, fault)
-        desk = Desk(self.core, self.fleet, self.bans, lambda: self.runners.calls_written, self._lacking)
+        desk = Desk(
+            self.core, self.fleet, self.bans, lambda: self.runners.calls_written, self._lacking,
+            lambda: None if self.peers is None else self.peers.members(),
+        )  # fmt: skip
         http = Http("operator", OperatorApi(desk, self.limits), self.counters, self._received)
         front = await http.start(*self.config.operation)
         self._listens("operator", front)
@@ -285,6 +297,8 @@
         log.info("%s was asked to stop; %d requests open", self.name, len(self.core.open))
         told_us = clock()
         until = told_us + self.limits.drain_least_us
+        if self.peers is not None:  # the others hear of the leave, and suspect nobody
+            self._start(self.peers.leave(0.0))
         if self.handover is not None:
             self.handover.leaving()
         while clock() < until or self._owes():
--- a/maplestile/agent.py
+++ b/maplestile/agent.py
@@ -19,7 +19,7 @@
 from maplestile.config import address
 from maplestile.invoke.operator import OperatorError, Table
 from maplestile.invoke.operator import load as load_operator
-from maplestile.operation.api import METRICS, READY
+from maplestile.operation.api import MEMBERS, METRICS, READY
 from maplestile.operation.client import CallError, call
 
 log = logging.getLogger("maplestile.agent")
@@ -28,6 +28,7 @@
 OPERATE = {
     "ready": ("GET", READY),
     "figures": ("GET", METRICS),
+    "members": ("GET", MEMBERS),
     "suspend": ("PUT", "/v1/runners/{}/suspend"),
     "resume": ("PUT", "/v1/runners/{}/resume"),
 }
--- a/maplestile/cli.py
+++ b/maplestile/cli.py
@@ -32,6 +32,7 @@
         ("figures", "the figures of the named instances, or of all"),
         ("suspend", "take a runner out at the named instances, or at all"),
         ("resume", "put a runner back at the named instances, or at all"),
+        ("members", "the views of membership of the named instances, or of all, side by side"),
     ):
         asked = commands.add_parser(name, help=text)
         if name in ("suspend", "resume"):
@@ -39,6 +40,10 @@
         asked.add_argument("instance", nargs="*")
         asked.add_argument("--agent", default=DEFAULT_AGENT, metavar="HOST:PORT")
         asked.add_argument("--json", action="store_true", help="print the agent's whole answer")
+    model = commands.add_parser("model", help="run an experiment of the membership protocol on the model")
+    model.add_argument("file", type=Path)
+    model.add_argument("--format", choices=("json", "csv"), default="json")
+    model.add_argument("--plot", type=Path, metavar="PNG", help="draw the course of the run there")
     read = commands.add_parser("traces", help="summarise public cluster traces in CSV")
     read.add_argument("file", type=Path, nargs="+")
     read.add_argument("--format", choices=("table", "json", "functions"), default="table")
@@ -64,6 +69,8 @@
                 return _agent(asked.file)
             case "traces":
                 return _traces(asked)
+            case "model":
+                return _model(asked)
             case _:
                 return _ask(asked)
     except (OperatorError, traces.TraceError) as fault:
@@ -116,6 +123,22 @@
     return 0
 
 
+def _model(asked: argparse.Namespace) -> int:
+    """Exit 0 with the figures; 2 for a file that cannot be used, with the field named."""
+    from maplestile.model import experiment, report, run
+
+    try:
+        told = experiment.load(asked.file)
+    except experiment.ExperimentError as fault:
+        print(f"maplestile: {asked.file}: {fault}", file=sys.stderr)
+        return 2
+    figures, course = run.run(told)
+    print(report.as_json(figures) if asked.format == "json" else report.as_csv(figures), end="\n")
+    if asked.plot is not None:
+        report.plot(course, f"{asked.file.name}: {told.members} members, seed {told.seed}", asked.plot)
+    return 0
+
+
 def _traces(asked: argparse.Namespace) -> int:
     trace = traces.Trace()
     for path in asked.file:
--- a/maplestile/config.py
+++ b/maplestile/config.py
@@ -8,6 +8,7 @@
 from maplestile.fleet import Address, Fleet, FleetError
 from maplestile.interface import Settings
 from maplestile.limits import Limits
+from maplestile.peers.plan import Plan, PlanError, plan_from
 from maplestile.settings import SettingsError, settings_from
 
 if TYPE_CHECKING:  # the platform's nodes do not load the second front
@@ -32,13 +33,14 @@
     operator: "Operator | None" = None
     operation: Address | None = None  # where operators call; what follows is of no use without it
     folder: Path | None = None  # that outlives this process, and is shared with the one that replaces it
+    peers: Plan | None = None  # membership among instances; never on the platform, where routers cannot talk
 
     def restarts(self, new: "Config") -> list[str]:
         """What the new one tells otherwise and only a restart can take: the module and the budgets are
         built on it, or a listener stands there."""
         names = [f.name for f in fields(Settings) if f.name not in TOLD_BY_OPERATOR]
         changed = [f"settings.{n}" for n in names if getattr(self.settings, n) != getattr(new.settings, n)]
-        told = "name", "listen", "operation", "folder", "limits"
+        told = "name", "listen", "operation", "folder", "limits", "peers"
         changed += [n for n in told if getattr(self, n) != getattr(new, n)]
         if self.operator is not None and new.operator is not None:
             changed += ["invoke.listen"] * (self.operator.listen != new.operator.listen)
@@ -62,9 +64,12 @@
             operator=operator,
             operation=address(told["operator"]) if told.get("operator") else None,
             folder=Path(told["folder"]) if told.get("folder") else None,
+            peers=plan_from(told["peers"]) if told.get("peers") else None,
         )
     except KeyError as missing:
         raise ConfigError(f"lacks {missing}") from None
+    except PlanError as fault:
+        raise ConfigError(str(fault)) from None
     except (SettingsError, FleetError) as fault:
         raise ConfigError(f"settings or known: {fault}") from None
     except (ValueError, TypeError, AttributeError) as fault:
--- a/maplestile/invoke/operator.py
+++ b/maplestile/invoke/operator.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from maplestile.config import ConfigError
+from maplestile.peers.plan import PlanError, plan_from
 
 SEMANTICS = {"safe": "free", "keyed": "guarded", "unsafe": "single_shot"}
 SCOPES = ("all", "zone", "cell")
@@ -138,6 +139,7 @@
     name = str(root.values.pop("name", "maplestile"))
     invoke, limits, rules = root.table("invoke"), root.table("limits"), root.table("rules")
     platform, names, operation = root.table("platform"), root.table("names"), root.table("operation")
+    peers = root.table("peers")
     grades = [_grade(table) for table in _unique(root.tables("class"))]
     classes = {grade["name"]: grade for grade in grades}
     functions = {f.name: f for f in (_function(t, classes) for t in _unique(root.tables("function")))}
@@ -176,6 +178,8 @@
         node["dns"] = names.address("server")
     if operation.values:
         node |= {"operator": operation.loopback("listen"), "folder": operation.text("folder", "")}
+    if peers.values:
+        node["peers"] = _peers(peers)
     if not workers and not names.values:
         raise OperatorError("worker: at least one [[worker]] or [names] server is needed")
     operator = Operator(
@@ -192,11 +196,29 @@
         idle_s=limits.number("idle_s", 30.0, least=0.1),
         node=node,
     )
-    for table in (invoke, limits, rules, platform, names, operation, root):
+    for table in (invoke, limits, rules, platform, names, operation, peers, root):
         table.end()
     return operator
 
 
+def _peers(table: Table) -> dict[str, Any]:
+    """Membership among instances: checked here by its fields, and whole by `peers.plan`."""
+    seeds = table.values.pop("seeds", [])
+    if not isinstance(seeds, list) or not all(isinstance(seed, str) for seed in seeds):
+        raise OperatorError("peers.seeds: must be a list of host:port")
+    told = {
+        "listen": table.loopback("listen"), "seeds": seeds,
+        "periodUs": int(table.number("period_ms", 1000.0, least=10) * 1000),
+        "ackUs": int(table.number("ack_ms", 400.0, least=1) * 1000),
+        "lifeguard": table.flag("lifeguard", True),
+    }  # fmt: skip
+    try:
+        plan_from(told)
+    except PlanError as fault:
+        raise OperatorError(str(fault)) from None
+    return told
+
+
 def _unique(tables: list[Table], name: str = "name") -> list[Table]:
     seen = set[object]()
     for table in tables:
--- /dev/null
+++ b/maplestile/model/__init__.py
@@ -0,0 +1,1 @@
+"""The model: the membership protocol of `peers` among many members on a discrete-event engine."""
--- /dev/null
+++ b/maplestile/model/report.py
@@ -0,0 +1,42 @@
+"""The model's figures as JSON or CSV, and its course as a plot (matplotlib, without a screen)."""
+
+import csv
+import io
+import json
+from pathlib import Path
+
+from maplestile.model.run import Course
+
+
+def as_json(figures: dict[str, float | None]) -> str:
+    return json.dumps(figures, indent=2, sort_keys=True)
+
+
+def as_csv(figures: dict[str, float | None]) -> str:
+    out = io.StringIO()
+    writer = csv.writer(out, lineterminator="\n")
+    writer.writerow(("figure", "value"))
+    for key in sorted(figures):
+        writer.writerow((key, "" if figures[key] is None else figures[key]))
+    return out.getvalue()
+
+
+def plot(course: Course, title: str, path: Path) -> None:
+    """Two panels over time: the mean view of the sampled members with their suspects, and those cut off."""
+    import matplotlib
+
+    matplotlib.use("Agg")  # no screen: the figure goes to a file
+    from matplotlib import pyplot
+
+    figure, (top, bottom) = pyplot.subplots(2, 1, sharex=True, figsize=(8, 5))
+    top.plot(course.at_s, course.view, label="members in view (mean)")
+    top.plot(course.at_s, course.suspects, label="suspected (mean)")
+    top.set_ylabel("members")
+    top.legend(loc="best")
+    bottom.step(course.at_s, course.isolated, where="post", color="tab:red")
+    bottom.set_ylabel("isolated")
+    bottom.set_xlabel("seconds")
+    figure.suptitle(title)
+    figure.tight_layout()
+    figure.savefig(path, dpi=100, metadata={"Software": None})
+    pyplot.close(figure)
--- a/maplestile/operation/api.py
+++ b/maplestile/operation/api.py
@@ -1,8 +1,9 @@
 """What operators may call: readiness, the figures, and runners taken out and put back. It knows no socket."""
 
+import json
 import re
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 from urllib.parse import unquote
 
 from maplestile.limits import Limits
@@ -10,7 +11,7 @@
 from maplestile.wire.http import Bounds, HttpRequest, Refused, Response, allow, nothing, problem
 
 RUNNER = re.compile(r"/v1/runners/([^/]+)/(suspend|resume)")
-READY, METRICS = "/v1/readyz", "/v1/metrics"
+READY, METRICS, MEMBERS = "/v1/readyz", "/v1/metrics", "/v1/members"
 PLAIN = (("Content-Type", "text/plain; charset=utf-8"),)
 
 
@@ -23,6 +24,10 @@
 
     def figures(self) -> figures.Figures: ...
 
+    def members(self) -> dict[str, Any] | None:
+        """This instance's view of membership; None where membership is off."""
+        ...
+
     def suspend(self, runner: str) -> bool:
         """Take a runner out; false for one that was never listed."""
         ...
@@ -55,6 +60,11 @@
             allow(request, "GET")
             told = figures.text(self.router.figures())
             return Response(200, told.encode(), (("Content-Type", figures.CONTENT_TYPE),))
+        if path == MEMBERS:
+            allow(request, "GET")
+            if (view := self.router.members()) is None:
+                return problem(404, "membership is off: no [peers] in the operator's file")
+            return Response(200, json.dumps(view).encode(), (("Content-Type", "application/json"),))
         if (match := RUNNER.fullmatch(path)) is None:
             raise Refused(problem(404, "no such resource"))
         allow(request, "PUT")
--- a/maplestile/operation/desk.py
+++ b/maplestile/operation/desk.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from maplestile.core import Core
 from maplestile.fleet import Fleet
@@ -16,6 +17,7 @@
     bans: Bans
     backend_calls: Callable[[], int]
     lacking: Callable[[], str]
+    view: Callable[[], dict[str, Any] | None]
 
     def ready(self) -> str:
         return self.lacking()
@@ -31,6 +33,9 @@
             hosts_down=len(listed & (self.fleet.suspended | self.core.avoided())),
         )
 
+    def members(self) -> dict[str, Any] | None:
+        return self.view()
+
     def suspend(self, runner: str) -> bool:
         return self.bans.suspend(runner)
 
--- /dev/null
+++ b/maplestile/peers/plan.py
@@ -0,0 +1,56 @@
+"""What an operator's file tells of membership: `[peers]`, read into the node's form and then into a `Plan`.
+
+[peers]
+listen = "127.0.0.1:7946"          # UDP, loopback only
+seeds = ["127.0.0.1:7947"]         # members asked first; the others are learned from them
+period_ms = 1000                   # the protocol's period
+ack_ms = 400                       # for a direct ack
+lifeguard = true
+"""
+
+from dataclasses import dataclass, replace
+from typing import Any
+
+from maplestile.peers.tuning import Tuning
+
+Address = tuple[str, int]
+SEEDS_MOST = 64
+
+
+class PlanError(ValueError):
+    """A plan that cannot be used; the text names the field."""
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    listen: Address
+    seeds: tuple[Address, ...]
+    tuning: Tuning
+
+
+def plan_from(told: Any) -> Plan:
+    """From the node's form, `{"listen": "h:p", "seeds": [...], "periodUs", "ackUs", "lifeguard"}`."""
+    if not isinstance(told, dict):
+        raise PlanError("peers: must be a table")
+    listen = _address(told.get("listen"), "peers.listen")
+    seeds = told.get("seeds", [])
+    if not isinstance(seeds, list) or len(seeds) > SEEDS_MOST:
+        raise PlanError(f"peers.seeds: must be a list of at most {SEEDS_MOST} addresses")
+    period_us, ack_us = told.get("periodUs", 1_000_000), told.get("ackUs", 400_000)
+    lifeguard = told.get("lifeguard", True)
+    if not isinstance(period_us, int) or not 10_000 <= period_us <= 60_000_000:
+        raise PlanError("peers.period_ms: must be from 10 to 60000")
+    if not isinstance(ack_us, int) or not 1_000 <= ack_us < period_us:
+        raise PlanError("peers.ack_ms: must be at least 1 and less than the period")
+    if not isinstance(lifeguard, bool):
+        raise PlanError("peers.lifeguard: must be true or false")
+    places = (_address(seed, f"peers.seeds[{n}]") for n, seed in enumerate(seeds))
+    tuning = replace(Tuning(), period_us=period_us, ack_us=ack_us, lifeguard=lifeguard)
+    return Plan(listen, tuple(places), tuning)
+
+
+def _address(told: Any, place: str) -> Address:
+    host, _, port = str(told).rpartition(":") if isinstance(told, str) else ("", "", "")
+    if host not in ("127.0.0.1", "localhost", "::1") or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise PlanError(f"{place}: must be a loopback host:port")
+    return ("127.0.0.1" if host == "localhost" else host), int(port)
--- /dev/null
+++ b/maplestile/peers/swim.py
@@ -0,0 +1,449 @@
+"""SWIM membership with the Lifeguard refinements, as a state machine without I/O on a virtual clock.
+
+Sources: Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group
+Membership Protocol" (DSN 2002); Dadgar, Phillips and Currey, "Lifeguard: Local Health Awareness for More
+Accurate Failure Detection" (2018). The driver feeds it datagrams (`receive`) and the time (`tick`), sends
+what `outbox` holds and logs what `events` holds. Times are microseconds of a monotonic clock; names are
+members' ids; an address is a (host, port) pair.
+"""
+
+import heapq
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from maplestile.peers.messages import Address, Entry, Message
+from maplestile.peers.tuning import Tuning
+
+
+class Status(Enum):
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+    LEFT = "left"
+
+
+# Which of two rumours of the same incarnation wins: dead over suspect over alive (SWIM, 4.2).
+RANK = {Status.ALIVE: 0, Status.SUSPECT: 1, Status.DEAD: 2, Status.LEFT: 2}
+IN_VIEW = (Status.ALIVE, Status.SUSPECT)
+
+
+@dataclass(slots=True)
+class Member:
+    name: str
+    address: Address
+    incarnation: int
+    status: Status
+    since_us: int
+    suspecters: set[str] = field(default_factory=set)  # who told of a suspicion of this incarnation
+
+
+@dataclass(slots=True)
+class Probe:
+    seq: int
+    target: str
+    began_us: int
+    ack_due_us: int
+    acked: bool = False
+    asked: bool = False  # whether helpers were asked, if there were any
+    helpers: list[str] = field(default_factory=list)
+    nacks: int = 0
+
+
+@dataclass(slots=True)
+class Relay:
+    """A ping sent for another member's indirect probe."""
+
+    asker: Address
+    asker_seq: int
+    nack_due_us: int
+    done_us: int
+
+
+@dataclass(slots=True)
+class Rumour:
+    entry: Entry
+    sent: int = 0
+
+
+class Swim:
+    """One member's view of the group.
+
+    `outbox` holds (address, message) pairs to send, `events` (kind, fields) pairs to log; the driver empties
+    both after each call. Raises nothing on what peers send: a message of no use is counted in `faults`."""
+
+    def __init__(self, name: str, address: Address, tuning: Tuning, seed: int, now_us: int) -> None:
+        self.name, self.address, self.tuning = name, address, tuning
+        self.random = random.Random(seed)
+        self.incarnation = 0
+        self.members: dict[str, Member] = {name: Member(name, address, 0, Status.ALIVE, now_us)}
+        self.rumours: dict[str, Rumour] = {}
+        self.outbox: list[tuple[Address, Message]] = []
+        self.events: list[tuple[str, dict[str, object]]] = []
+        self.faults: dict[str, int] = {}
+        self.sent: int = 0  # messages in all, for the measurements
+        self.health = 0  # Lifeguard's local health multiplier: 0 is well
+        self.seq = 0
+        self.probe: Probe | None = None
+        self.relays: dict[int, Relay] = {}
+        self.order: list[str] = []  # the round of probe targets, shuffled anew each time it is used up
+        self.next_probe_us = now_us + self.random.randrange(tuning.period_us)  # members do not probe in step
+        self.next_reconnect_us = now_us + tuning.period_us * tuning.reconnect_periods
+        self.seeds: list[Address] = []
+        self.leaving = False
+        # The last view without a suspicion: a member that sees less than a majority of it is cut off.
+        self.agreed: frozenset[str] = frozenset((name,))
+        self.isolated = False
+        self.suspected: dict[
+            str, None
+        ] = {}  # in order of suspicion, as a set whose order is the same each run
+        self._live: list[str] | None = None  # what `live` tells, until the view changes
+        self._judged: list[str] | None = None  # the view last judged for isolation
+        self.stale = False  # whether the message at hand told an old suspicion of this member
+
+    # What the driver calls.
+
+    def join(self, seeds: Iterable[Address], now_us: int) -> None:
+        """Ask the seeds for their views; they are asked again while none is known."""
+        self.seeds = [seed for seed in seeds if seed != self.address]
+        for seed in self.seeds:
+            self._send(seed, self._exchange("join"))
+
+    def leave(self, now_us: int) -> None:
+        """Tell the group that this member goes: it is not suspected, and its duties move at once."""
+        self.leaving = True
+        self.incarnation += 1
+        me = self.members[self.name]
+        me.incarnation = self.incarnation
+        self._set(me, Status.LEFT)
+        self._spread(self._entry(me))
+        for member in self._chosen(self.tuning.helpers, set()):
+            self._send(member.address, Message("ping", self._next_seq(), self.name, member.name))
+
+    def receive(self, message: Message, now_us: int) -> None:
+        whole = message.kind in ("join", "sync")
+        for entry in message.gossip:
+            if whole and entry.status == Status.DEAD.value and entry.name != self.name:
+                # Guards against a split's healing: the other side's view of this one is old, so what it has
+                # declared dead is only suspected here, and the member itself can refute (as memberlist does).
+                entry = Entry(Status.SUSPECT.value, entry.name, entry.address, entry.incarnation, entry.by)
+            self._update(entry, now_us)
+        if self.stale and message.source != self.name:
+            # The one that told an old suspicion of this member hears the refutation at once, first of all.
+            self.stale = False
+            refresh = Message("ping", self._next_seq(), self.name, message.source)
+            self._send(message.reply_to, refresh, lead=self._entry(self.members[self.name]))
+        match message.kind:
+            case "ping":
+                if message.target == self.name:
+                    # What is suspected of the one that asks goes with the answer, so that it can refute.
+                    told = Message("ack", message.seq, self.name)
+                    self._send(message.reply_to, told, first=self.members.get(message.source))
+            case "req":
+                self._relay(message, now_us)
+            case "ack":
+                self._acked(message, now_us)
+            case "nack":
+                if self.probe is not None and message.seq == self.probe.seq:
+                    self.probe.nacks += 1
+            case "join":
+                self._send(message.reply_to, self._exchange("sync"))
+            case "sync":
+                self.seeds = []  # a view is known: the seeds are of no more use
+        if message.kind in ("ping", "ack", "req", "nack") and message.source not in self.members:
+            self._fault("unknown_sender")
+
+    def tick(self, now_us: int) -> None:
+        """Everything that is due by now."""
+        probe = self.probe
+        if probe is not None and not probe.acked and not probe.asked and now_us >= probe.ack_due_us:
+            self._ask_helpers(probe)
+        for seq, relay in list(self.relays.items()):
+            if now_us >= relay.nack_due_us and relay.nack_due_us:
+                self._send(relay.asker, Message("nack", relay.asker_seq, self.name))
+                relay.nack_due_us = 0
+            if now_us >= relay.done_us:
+                del self.relays[seq]
+        if now_us >= self.next_probe_us and not self.leaving:
+            self._end_probe(now_us)
+            self._begin_probe(now_us)
+        self._suspicions(now_us)
+        if now_us >= self.next_reconnect_us:
+            self._reconnect(now_us)
+        self._judge_isolation(now_us)
+
+    def due_us(self) -> int:
+        """The next moment `tick` has something to do."""
+        due = [self.next_probe_us, self.next_reconnect_us]
+        if self.probe is not None and not self.probe.acked and not self.probe.asked:
+            due.append(self.probe.ack_due_us)
+        for relay in self.relays.values():
+            due.append(relay.nack_due_us or relay.done_us)
+        for name in self.suspected:
+            member = self.members[name]
+            due.append(member.since_us + self._suspicion_us(member))
+        return min(due)
+
+    def view(self) -> list[Member]:
+        return sorted(self.members.values(), key=lambda member: member.name)
+
+    def live(self) -> list[str]:
+        """Members that are not known to have ended, this one among them: those that share the duties."""
+        if self._live is None:
+            self._live = sorted(name for name, member in self.members.items() if member.status in IN_VIEW)
+        return self._live
+
+    def know(self, members: list[tuple[str, Address]]) -> None:
+        """Take members as alive in incarnation 0 without spreading word of them: a group that stands."""
+        for name, address in members:
+            if name not in self.members:
+                self.members[name] = Member(name, address, 0, Status.ALIVE, 0)
+                self._insert_target(name)
+        self._live = None
+        self.agreed = frozenset(self.live())
+
+    def _set(self, member: Member, status: Status) -> None:
+        """The one way a member's status changes, so that what is kept of the view follows."""
+        member.status = status
+        self._live = None
+        if status is Status.SUSPECT:
+            self.suspected[member.name] = None
+        else:
+            self.suspected.pop(member.name, None)
+
+    # Probes.
+
+    def _begin_probe(self, now_us: int) -> None:
+        scale = self.health + 1
+        self.next_probe_us = now_us + self.tuning.period_us * scale
+        target = self._next_target()
+        if target is None:
+            self.probe = None
+            return
+        self.probe = Probe(self._next_seq(), target.name, now_us, now_us + self.tuning.ack_us * scale)
+        self._send(target.address, Message("ping", self.probe.seq, self.name, target.name), first=target)
+
+    def _end_probe(self, now_us: int) -> None:
+        probe, self.probe = self.probe, None
+        if probe is None:
+            return
+        if probe.acked:
+            self._health(-1)
+            return
+        self._health(+1)
+        if probe.helpers and probe.nacks < len(probe.helpers):
+            self._health(+1)  # Lifeguard: helpers that do not even say no point at this member's own slowness
+        target = self.members.get(probe.target)
+        # Lifeguard: a suspicion of one's own, beside those heard, is an independent confirmation.
+        if target is not None and (target.status is Status.ALIVE or self.name not in target.suspecters):
+            entry = Entry(Status.SUSPECT.value, target.name, target.address, target.incarnation, self.name)
+            self._update(entry, now_us)
+
+    def _ask_helpers(self, probe: Probe) -> None:
+        target = self.members.get(probe.target)
+        if target is None:
+            probe.asked = True
+            return
+        probe.asked = True
+        helpers = self._chosen(self.tuning.helpers, {target.name})
+        probe.helpers = [helper.name for helper in helpers]
+        for helper in helpers:
+            asked = Message("req", probe.seq, self.name, target.name, target_address=target.address)
+            self._send(helper.address, asked, first=target)
+
+    def _relay(self, message: Message, now_us: int) -> None:
+        if message.target_address is None:
+            self._fault("req_without_address")
+            return
+        seq, ack_us = self._next_seq(), self.tuning.ack_us * (self.health + 1)
+        self.relays[seq] = Relay(message.reply_to, message.seq, now_us + ack_us * 4 // 5, now_us + ack_us * 2)
+        if len(self.relays) > self.tuning.members_most:  # guards memory against a flood of requests
+            del self.relays[min(self.relays)]
+        target = self.members.get(message.target)
+        self._send(message.target_address, Message("ping", seq, self.name, message.target), first=target)
+
+    def _acked(self, message: Message, now_us: int) -> None:
+        if (relay := self.relays.pop(message.seq, None)) is not None:
+            self._send(relay.asker, Message("ack", relay.asker_seq, message.source))
+        elif self.probe is not None and message.seq == self.probe.seq and message.source == self.probe.target:
+            self.probe.acked = True
+
+    def _next_target(self) -> Member | None:
+        for _ in range(2):
+            while self.order:
+                member = self.members.get(self.order.pop())
+                if member is not None and member.status in IN_VIEW and member.name != self.name:
+                    return member
+            self.order = [name for name in self.live() if name != self.name]
+            self.random.shuffle(self.order)
+        return None
+
+    def _chosen(self, count: int, besides: set[str]) -> list[Member]:
+        names = [name for name in self.live() if name != self.name and name not in besides]
+        return [self.members[name] for name in self.random.sample(names, min(count, len(names)))]
+
+    def _health(self, change: int) -> None:
+        if not self.tuning.lifeguard:
+            return
+        self.health = min(self.tuning.health_most, max(0, self.health + change))
+
+    # Suspicion, death and refutation.
+
+    def _suspicion_us(self, member: Member) -> int:
+        confirmed = max(0, len(member.suspecters) - 1)
+        return self.tuning.suspicion_us(len(self.live()), confirmed)
+
+    def _suspicions(self, now_us: int) -> None:
+        for name in list(self.suspected):
+            member = self.members[name]
+            if now_us >= member.since_us + self._suspicion_us(member):
+                dead = Entry(Status.DEAD.value, member.name, member.address, member.incarnation, self.name)
+                self._update(dead, now_us)
+
+    def _update(self, entry: Entry, now_us: int) -> None:
+        """Take one rumour: it changes the view only if it is news, and news is passed on."""
+        status = Status(entry.status)
+        if entry.name == self.name:
+            self._about_self(entry, status, now_us)
+            return
+        member = self.members.get(entry.name)
+        if member is None:
+            if status not in IN_VIEW or len(self.members) >= self.tuning.members_most:
+                return  # of a member never known, only that it lives is of use
+            member = Member(entry.name, entry.address, entry.incarnation, Status.ALIVE, now_us)
+            self.members[entry.name] = member
+            self._set(member, status)
+            if status is Status.SUSPECT:
+                member.suspecters.add(entry.by)
+            self._insert_target(entry.name)
+            self._event("join", member)
+            self._spread(entry)
+            return
+        newer = entry.incarnation > member.incarnation
+        same = entry.incarnation == member.incarnation
+        if status is Status.SUSPECT and same and member.status is Status.SUSPECT:
+            if entry.by not in member.suspecters:  # Lifeguard: an independent confirmation shortens the wait
+                member.suspecters.add(entry.by)
+                self._spread(entry)
+            return
+        if not (newer or same and RANK[status] > RANK[member.status]):
+            return
+        before = member.status
+        member.incarnation, member.since_us = entry.incarnation, now_us
+        self._set(member, status)
+        member.address = entry.address
+        member.suspecters = {entry.by} if status is Status.SUSPECT else set()
+        self._spread(entry)
+        if status is Status.ALIVE:
+            self._event("refute" if before is Status.SUSPECT else "join", member)
+            if before not in IN_VIEW:
+                self._insert_target(member.name)
+        elif status is Status.SUSPECT:
+            self._event("suspect", member, by=entry.by)
+        else:
+            self._event("confirm" if status is Status.DEAD else "leave", member, by=entry.by)
+
+    def _about_self(self, entry: Entry, status: Status, now_us: int) -> None:
+        me = self.members[self.name]
+        # Guards against one's own old word coming back by gossip: only this member changes its own state.
+        if status is Status.ALIVE or self.leaving:
+            return
+        if entry.incarnation < self.incarnation:
+            self.stale = True  # an old suspicion goes round where the refutation has not come
+            return
+        # Suspected or declared dead: say otherwise with a higher incarnation (SWIM, 4.2).
+        self.incarnation = entry.incarnation + 1
+        me.incarnation = self.incarnation
+        self._set(me, Status.ALIVE)
+        self._health(+1)  # Lifeguard: being suspected is a sign of one's own slowness
+        self._spread(Entry(Status.ALIVE.value, self.name, self.address, self.incarnation, self.name))
+        self.events.append(("refute", {"member": self.name, "incarnation": self.incarnation, "by": entry.by}))
+
+    def _insert_target(self, name: str) -> None:
+        self.order.insert(self.random.randrange(len(self.order) + 1), name)
+
+    # Dissemination.
+
+    def _spread(self, entry: Entry) -> None:
+        self.rumours[entry.name] = Rumour(entry)
+
+    def _gossip(self, first: Member | None) -> list[Entry]:
+        """The rumours sent least so far. To a member suspected here, the suspicion goes first, also once its
+        rumour has been sent enough times: it is the one that can refute it (Lifeguard's buddy system)."""
+        limit, most = self.tuning.retransmits(len(self.live())), self.tuning.gossip_per_message
+        buddy = first is not None and first.status is Status.SUSPECT and self.tuning.lifeguard
+        chosen = heapq.nsmallest(most - buddy, self.rumours.values(), key=lambda rumour: rumour.sent)
+        for rumour in chosen:
+            rumour.sent += 1
+            if rumour.sent >= limit:
+                del self.rumours[rumour.entry.name]
+        told = [rumour.entry for rumour in chosen]
+        if buddy and first is not None:
+            told = [self._entry(first), *(entry for entry in told if entry.name != first.name)]
+        return told
+
+    def _send(
+        self, to: Address, message: Message, first: Member | None = None, lead: Entry | None = None
+    ) -> None:
+        if message.kind not in ("join", "sync"):
+            message.gossip = self._gossip(first)
+        if lead is not None:
+            message.gossip = [lead, *(entry for entry in message.gossip if entry.name != lead.name)]
+        message.reply_to = self.address
+        self.outbox.append((to, message))
+        self.sent += 1
+
+    def _exchange(self, kind: str) -> Message:
+        """A push and pull of the whole state, for joins and for finding the other side of a split."""
+        entries = [self._entry(member) for member in self.members.values()]
+        return Message(kind, 0, self.name, gossip=entries[: self.tuning.exchange_most])
+
+    def _entry(self, member: Member) -> Entry:
+        return Entry(member.status.value, member.name, member.address, member.incarnation, self.name)
+
+    def _reconnect(self, now_us: int) -> None:
+        """Seeds while nobody is known, else one member declared dead; tombstones are dropped when old."""
+        self.next_reconnect_us = now_us + self.tuning.period_us * self.tuning.reconnect_periods
+        keep_us = self.tuning.period_us * self.tuning.tombstone_periods
+        for member in list(self.members.values()):
+            if member.status not in IN_VIEW and now_us - member.since_us >= keep_us:
+                del self.members[member.name]
+                self._live = None
+        if self.leaving:
+            return
+        if self.seeds and len(self.live()) == 1:
+            for seed in self.seeds:
+                self._send(seed, self._exchange("join"))
+        dead = [member for member in self.members.values() if member.status is Status.DEAD]
+        if dead:
+            self._send(self.random.choice(dead).address, self._exchange("join"))
+
+    # Cut off or not.
+
+    def _judge_isolation(self, now_us: int) -> None:
+        live = self.live()
+        if live is self._judged:
+            return  # nothing changed since it was judged last
+        self._judged = live
+        seen = len(self.agreed.intersection(live))
+        isolated = seen < len(self.agreed) // 2 + 1
+        if isolated != self.isolated:
+            self.isolated = isolated
+            told = {"seen": seen, "agreed": len(self.agreed)}
+            self.events.append(("isolated" if isolated else "healed", {"member": self.name, **told}))
+        if not self.suspected and not isolated:
+            self.agreed = frozenset(live)
+
+    # Small things.
+
+    def _next_seq(self) -> int:
+        self.seq = (self.seq + 1) & 0xFFFF_FFFF
+        return self.seq
+
+    def _event(self, kind: str, member: Member, **more: object) -> None:
+        told = {"member": member.name, "incarnation": member.incarnation, **more}
+        self.events.append((kind, told))
+
+    def _fault(self, kind: str) -> None:
+        self.faults[kind] = self.faults.get(kind, 0) + 1
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -5,6 +5,7 @@
 import unittest
 from collections import Counter
 from pathlib import Path
+from typing import Any
 
 from maplestile import interface as api
 from maplestile.core import Verdict
@@ -36,6 +37,9 @@
     def figures(self) -> figures.Figures:
         return TOLD
 
+    def members(self) -> dict[str, Any] | None:
+        return None
+
     def suspend(self, runner: str) -> bool:
         self.calls.append(f"out {runner}")
         return runner == "s 1"
