--- a/maplestile/cli.py
+++ b/maplestile/cli.py
@@ -6,6 +6,7 @@
 import sys
 from collections.abc import Sequence
 from pathlib import Path
+from typing import Any
 
 from maplestile import agent, logs, traces
 from maplestile.invoke.operator import OperatorError, load
@@ -108,6 +109,8 @@
         print(json.dumps(reply, indent=2))
         told = reply.get("reload", {}).values()
         return int(any(answer is not None and not answer["ok"] for answer in told))
+    if asked.command == "members":
+        return _members(reply["members"])
     if asked.command in agent.OPERATE:
         answers = reply[asked.command]
         for name, told in answers.items():
@@ -123,6 +126,31 @@
     return 0
 
 
+def _members(answers: dict[str, Any]) -> int:
+    """The views side by side: a row a member, a column an instance, `status/incarnation` in each cell, and
+    whether the views agree. Exit 1 where the views disagree; instances without a view are named on stderr."""
+    views: dict[str, dict[str, str]] = {}
+    for name, told in answers.items():
+        try:
+            view = json.loads(told["told"]) if told["ok"] else None
+        except ValueError:
+            view = None
+        if view is None:
+            print(f"maplestile: {name}: no view: {told['told'].strip()}", file=sys.stderr)
+            continue
+        views[name] = {m["name"]: f"{m['status']}/{m['incarnation']}" for m in view["members"]}
+        views[name]["(isolated)"] = "yes" if view["isolated"] else "no"
+    names, rows = list(views), sorted({member for view in views.values() for member in view})
+    print("member", *names, "agree", sep="\t")
+    agreed = True
+    for member in rows:
+        cells = [views[name].get(member, "-") for name in names]
+        same = len({cell.partition("/")[0] for cell in cells}) <= 1
+        agreed = agreed and same
+        print(member, *cells, "yes" if same else "NO", sep="\t")
+    return int(not agreed)
+
+
 def _model(asked: argparse.Namespace) -> int:
     """Exit 0 with the figures; 2 for a file that cannot be used, with the field named."""
     from maplestile.model import experiment, report, run
