Read membership more simply: one Address, one way to build and lead an entry

`_ask_helpers` set `asked` in both branches; once, first. - The operator's `[peers]` checked `seeds` twice, by hand and in `plan_from`; `plan_from` alone checks it and names the place (`peers.seeds[n]`).

--- a/maplestile/__main__.py
+++ b/maplestile/__main__.py
@@ -298,7 +298,7 @@
         told_us = clock()
         until = told_us + self.limits.drain_least_us
         if self.peers is not None:  # the others hear of the leave, and suspect nobody
-            self._start(self.peers.leave(0.0))
+            self.peers.leave()
         if self.handover is not None:
             self.handover.leaving()
         while clock() < until or self._owes():
--- a/maplestile/invoke/operator.py
+++ b/maplestile/invoke/operator.py
@@ -203,11 +203,8 @@
 
 def _peers(table: Table) -> dict[str, Any]:
     """Membership among instances: checked here by its fields, and whole by `peers.plan`."""
-    seeds = table.values.pop("seeds", [])
-    if not isinstance(seeds, list) or not all(isinstance(seed, str) for seed in seeds):
-        raise OperatorError("peers.seeds: must be a list of host:port")
     told = {
-        "listen": table.loopback("listen"), "seeds": seeds,
+        "listen": table.loopback("listen"), "seeds": table.values.pop("seeds", []),
         "periodUs": int(table.number("period_ms", 1000.0, least=10) * 1000),
         "ackUs": int(table.number("ack_ms", 400.0, least=1) * 1000),
         "lifeguard": table.flag("lifeguard", True),
--- a/maplestile/model/run.py
+++ b/maplestile/model/run.py
@@ -10,8 +10,9 @@
 
 import simpy
 
+from maplestile.fleet import Address
 from maplestile.model.experiment import Experiment, Fault
-from maplestile.peers.messages import Address, Message
+from maplestile.peers.messages import Message
 from maplestile.peers.swim import Status, Swim
 from maplestile.peers.tuning import Tuning
 
--- a/maplestile/net/peers.py
+++ b/maplestile/net/peers.py
@@ -5,11 +5,11 @@
 import logging
 import time
 from collections import Counter
-from collections.abc import Callable
 from typing import Any
 
 from maplestile import logs
-from maplestile.peers.messages import Address, DatagramError, decode, encode
+from maplestile.fleet import Address
+from maplestile.peers.messages import DatagramError, decode, encode
 from maplestile.peers.swim import Swim
 from maplestile.peers.tuning import Tuning
 
@@ -21,15 +21,15 @@
 
 
 class Peers(asyncio.DatagramProtocol):
-    """One member on one UDP socket. `changed` is called after any event, with the machine's view."""
+    """One member on one UDP socket."""
 
     def __init__(
         self, name: str, address: Address, seeds: list[Address], tuning: Tuning, seed: int,
-        counters: Counter[str], changed: Callable[[], None] = lambda: None,
+        counters: Counter[str],
     ) -> None:  # fmt: skip
         self.name, self.tuning, self.seed = name, tuning, seed
         self.swim = Swim(name, address, tuning, seed, monotonic_us())  # anew once the socket stands
-        self.address, self.seeds, self.counters, self.changed = address, seeds, counters, changed
+        self.address, self.seeds, self.counters = address, seeds, counters
         self.events = logs.events("peers")
         self.transport: asyncio.DatagramTransport | None = None
         self.wake = asyncio.Event()
@@ -54,13 +54,12 @@
         finally:
             self.transport.close()
 
-    async def leave(self, linger_s: float) -> None:
-        """Say that this member goes, and let the word travel a little before the socket closes."""
+    def leave(self) -> None:
+        """Say that this member goes; the word travels while the process drains, before the socket closes."""
         if self.transport is None:
             return
         self.swim.leave(monotonic_us())
         self._flush()
-        await asyncio.sleep(linger_s)
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         try:
@@ -86,9 +85,7 @@
         for kind, told in self.swim.events:
             self.counters[f"peers.events.{kind}"] += 1
             self.events.info(kind, **told)
-        if self.swim.events:
-            self.swim.events.clear()
-            self.changed()
+        self.swim.events.clear()
         for kind, count in self.swim.faults.items():
             self.counters[f"peers.faults.{kind}"] += count
         self.swim.faults.clear()
--- a/maplestile/peers/messages.py
+++ b/maplestile/peers/messages.py
@@ -12,7 +12,8 @@
 
 import msgpack  # type: ignore[import-untyped]  # it has no marker of its types
 
-Address = tuple[str, int]
+from maplestile.fleet import Address
+
 KINDS = ("ping", "ack", "req", "nack", "join", "sync")
 STATUSES = ("alive", "suspect", "dead", "left")
 NAME_BYTES, ENTRIES_MOST = 64, 4096
--- a/maplestile/peers/plan.py
+++ b/maplestile/peers/plan.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from maplestile.fleet import Address
 from maplestile.peers.tuning import Tuning
 
-Address = tuple[str, int]
 SEEDS_MOST = 64
 
 
--- a/maplestile/peers/swim.py
+++ b/maplestile/peers/swim.py
@@ -10,10 +10,11 @@
 import heapq
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
-from maplestile.peers.messages import Address, Entry, Message
+from maplestile.fleet import Address
+from maplestile.peers.messages import Entry, Message
 from maplestile.peers.tuning import Tuning
 
 
@@ -43,7 +44,6 @@
 class Probe:
     seq: int
     target: str
-    began_us: int
     ack_due_us: int
     acked: bool = False
     asked: bool = False  # whether helpers were asked, if there were any
@@ -82,7 +82,6 @@
         self.outbox: list[tuple[Address, Message]] = []
         self.events: list[tuple[str, dict[str, object]]] = []
         self.faults: dict[str, int] = {}
-        self.sent: int = 0  # messages in all, for the measurements
         self.health = 0  # Lifeguard's local health multiplier: 0 is well
         self.seq = 0
         self.probe: Probe | None = None
@@ -95,9 +94,8 @@
         # The last view without a suspicion: a member that sees less than a majority of it is cut off.
         self.agreed: frozenset[str] = frozenset((name,))
         self.isolated = False
-        self.suspected: dict[
-            str, None
-        ] = {}  # in order of suspicion, as a set whose order is the same each run
+        # In order of suspicion: a set whose order is the same in each run, whatever the hashes.
+        self.suspected: dict[str, None] = {}
         self._live: list[str] | None = None  # what `live` tells, until the view changes
         self._judged: list[str] | None = None  # the view last judged for isolation
         self.stale = False  # whether the message at hand told an old suspicion of this member
@@ -133,7 +131,7 @@
                 known = self.members.get(entry.name)
                 if known is not None and known.status in IN_VIEW and entry.incarnation <= known.incarnation:
                     continue
-                entry = Entry(Status.SUSPECT.value, entry.name, entry.address, entry.incarnation, entry.by)
+                entry = replace(entry, status=Status.SUSPECT.value)
             self._update(entry, now_us)
         if self.stale and message.source != self.name:
             # The one that told an old suspicion of this member hears the refutation at once, first of all.
@@ -227,7 +225,7 @@
         if target is None:
             self.probe = None
             return
-        self.probe = Probe(self._next_seq(), target.name, now_us, now_us + self.tuning.ack_us * scale)
+        self.probe = Probe(self._next_seq(), target.name, now_us + self.tuning.ack_us * scale)
         self._send(target.address, Message("ping", self.probe.seq, self.name, target.name), first=target)
 
     def _end_probe(self, now_us: int) -> None:
@@ -243,15 +241,13 @@
         target = self.members.get(probe.target)
         # Lifeguard: a suspicion of one's own, beside those heard, is an independent confirmation.
         if target is not None and (target.status is Status.ALIVE or self.name not in target.suspecters):
-            entry = Entry(Status.SUSPECT.value, target.name, target.address, target.incarnation, self.name)
-            self._update(entry, now_us)
+            self._update(self._entry(target, Status.SUSPECT), now_us)
 
     def _ask_helpers(self, probe: Probe) -> None:
+        probe.asked = True
         target = self.members.get(probe.target)
         if target is None:
-            probe.asked = True
             return
-        probe.asked = True
         helpers = self._chosen(self.tuning.helpers, {target.name})
         probe.helpers = [helper.name for helper in helpers]
         for helper in helpers:
@@ -304,8 +300,7 @@
         for name in list(self.suspected):
             member = self.members[name]
             if now_us >= member.since_us + self._suspicion_us(member):
-                dead = Entry(Status.DEAD.value, member.name, member.address, member.incarnation, self.name)
-                self._update(dead, now_us)
+                self._update(self._entry(member, Status.DEAD), now_us)
 
     def _update(self, entry: Entry, now_us: int) -> None:
         """Take one rumour: it changes the view only if it is news, and news is passed on."""
@@ -363,7 +358,7 @@
         me.incarnation = self.incarnation
         self._set(me, Status.ALIVE)
         self._health(+1)  # Lifeguard: being suspected is a sign of one's own slowness
-        self._spread(Entry(Status.ALIVE.value, self.name, self.address, self.incarnation, self.name))
+        self._spread(self._entry(me))
         self.events.append(("refute", {"member": self.name, "incarnation": self.incarnation, "by": entry.by}))
 
     def _insert_target(self, name: str) -> None:
@@ -385,9 +380,7 @@
             if rumour.sent >= limit:
                 del self.rumours[rumour.entry.name]
         told = [rumour.entry for rumour in chosen]
-        if buddy and first is not None:
-            told = [self._entry(first), *(entry for entry in told if entry.name != first.name)]
-        return told
+        return _leading(self._entry(first), told) if buddy and first is not None else told
 
     def _send(
         self, to: Address, message: Message, first: Member | None = None, lead: Entry | None = None
@@ -395,18 +388,19 @@
         if message.kind not in ("join", "sync"):
             message.gossip = self._gossip(first)
         if lead is not None:
-            message.gossip = [lead, *(entry for entry in message.gossip if entry.name != lead.name)]
+            message.gossip = _leading(lead, message.gossip)
         message.reply_to = self.address
         self.outbox.append((to, message))
-        self.sent += 1
 
     def _exchange(self, kind: str) -> Message:
         """A push and pull of the whole state, for joins and for finding the other side of a split."""
         entries = [self._entry(member) for member in self.members.values()]
         return Message(kind, 0, self.name, gossip=entries[: self.tuning.exchange_most])
 
-    def _entry(self, member: Member) -> Entry:
-        return Entry(member.status.value, member.name, member.address, member.incarnation, self.name)
+    def _entry(self, member: Member, status: Status | None = None) -> Entry:
+        """What this member tells of `member`: its state as seen here, or `status` in its incarnation."""
+        told = (status or member.status).value
+        return Entry(told, member.name, member.address, member.incarnation, self.name)
 
     def _reconnect(self, now_us: int) -> None:
         """Seeds while nobody is known, else one member declared dead; tombstones are dropped when old."""
@@ -453,3 +447,8 @@
 
     def _fault(self, kind: str) -> None:
         self.faults[kind] = self.faults.get(kind, 0) + 1
+
+
+def _leading(entry: Entry, entries: list[Entry]) -> list[Entry]:
+    """`entry` first, and no other word of the same member after it."""
+    return [entry, *(other for other in entries if other.name != entry.name)]
