Let a joiner be learned by all, also where the seed's word of it died out

Cause: seen while rereading, as a process test that waited in vain for a whole view once in three runs of five routers. A joiner was made known to the others only by the seed's rumour, sent a bounded number of times; where that epidemic died out, a member never learned the joiner, although the joiner pinged it every round: a message from a sender not known was only counted (`unknown_sender`). Reproduced without processes: three members, the seed's rumours dropped after the first exchange; after 40 periods one member still saw only two.

Change: a joiner spreads its own `alive` from the start (its own word reaches those it pings), and a member that hears from a sender it does not know asks it for a full exchange, at most once each five periods, so that a stream of strangers gets no stream of full states.

--- a/maplestile/peers/swim.py
+++ b/maplestile/peers/swim.py
@@ -89,6 +89,7 @@
         self.order: list[str] = []  # the round of probe targets, shuffled anew each time it is used up
         self.next_probe_us = now_us + self.random.randrange(tuning.period_us)  # members do not probe in step
         self.next_reconnect_us = now_us + tuning.period_us * tuning.reconnect_periods
+        self.next_stranger_us = now_us  # the next moment a sender not known here may be asked for its state
         self.seeds: list[Address] = []
         self.leaving = False
         # The last view without a suspicion: a member that sees less than a majority of it is cut off.
@@ -105,6 +106,7 @@
     def join(self, seeds: Iterable[Address], now_us: int) -> None:
         """Ask the seeds for their views; they are asked again while none is known."""
         self.seeds = [seed for seed in seeds if seed != self.address]
+        self._spread(self._entry(self.members[self.name]))  # its own word, also to those the seeds miss
         for seed in self.seeds:
             self._send(seed, self._exchange("join"))
 
@@ -157,6 +159,11 @@
                 self.seeds = []  # a view is known: the seeds are of no more use
         if message.kind in ("ping", "ack", "req", "nack") and message.source not in self.members:
             self._fault("unknown_sender")
+            # A member whose word died out before it came here is asked for its state; once in a while
+            # only, so that a stream of strangers gets no stream of full states.
+            if now_us >= self.next_stranger_us:
+                self.next_stranger_us = now_us + self.tuning.period_us * self.tuning.reconnect_periods
+                self._send(message.reply_to, self._exchange("join"))
 
     def tick(self, now_us: int) -> None:
         """Everything that is due by now."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,6 +8,8 @@
 from maplestile.model.run import run
 from maplestile.peers import duties
 from maplestile.peers.messages import DatagramError, Entry, Message, decode, encode
+from maplestile.peers.swim import Swim
+from maplestile.peers.tuning import Tuning
 
 Figures = dict[str, float | None]
 
@@ -113,3 +115,24 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class JoinTest(unittest.TestCase):
+    def test_a_joiner_is_learned_by_all_also_where_the_seeds_word_of_it_died_out(self) -> None:
+        tuning = Tuning(period_us=100_000, ack_us=40_000)
+        swims = {n: Swim(f"r{n}", ("h", n), tuning, n, 0) for n in range(3)}
+        swims[1].join([("h", 0)], 0)
+        swims[2].join([("h", 0)], 0)
+        now = 0
+        for _ in range(400):  # 40 periods of 100 ms, every datagram delivered at once
+            now += 10_000
+            for swim in swims.values():
+                swim.tick(now)
+            while any(swim.outbox for swim in swims.values()):
+                for swim in swims.values():
+                    outbox, swim.outbox = swim.outbox, []
+                    for to, message in outbox:
+                        swims[to[1]].receive(message, now)
+                    if now == 10_000:
+                        swims[0].rumours.clear()  # the seed's word of the joiners dies out before it spread
+        self.assertEqual([swim.live() for swim in swims.values()], [["r0", "r1", "r2"]] * 3)
