Have the replacement test send its three requests in one piece

Cause: the test's thread sent three requests one by one; when it stood still between them for longer than the quiet time of a handover (a busy machine), the program had answered the first, rightly found the connection quiet and ended it, and the other two crossed that end. Checked: a pause of 0.15 s after the first request brings the failure about at once; in one piece the system hands all three over or none, and the test passes with the same pause before the piece. The program is unchanged.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -1,6 +1,7 @@
 """Stand-ins for what stands round the program, and the program's process."""
 
 import base64
+import contextlib
 import json
 import os
 import re
@@ -12,7 +13,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -203,14 +204,30 @@
         self.socket = socket.create_connection(("127.0.0.1", port), timeout=PATIENCE_S)
         self.file = self.socket.makefile("rb")
         self.id = 0
+        self.held, self.holding = b"", False
 
     def send(self, method: str, params: dict[str, Any] | None = None, id_: int | None = None) -> int:
         self.id += 1
         body = {"jsonrpc": "2.0", "id": id_ or self.id, "method": method, "params": params or {}}
         text = json.dumps(body).encode()
-        self.socket.sendall(b"Content-Length: %d\r\n\r\n%b" % (len(text), text))
+        self.held += b"Content-Length: %d\r\n\r\n%b" % (len(text), text)
+        if not self.holding:
+            self.flush()
         return id_ or self.id
 
+    def flush(self) -> None:
+        held, self.held = self.held, b""
+        self.socket.sendall(held)
+
+    @contextlib.contextmanager
+    def together(self) -> Iterator[None]:
+        """What is sent within goes out in one piece at its end: the system hands it over whole or not at all,
+        so that the program never takes some of it and ends the connection before the rest."""
+        self.holding = True
+        yield
+        self.holding = False
+        self.flush()
+
     def call(self, class_name: str, body: bytes, limit_ms: int = 10_000, **params: Any) -> int:
         told = {
             "txn": os.urandom(8).hex(), "limit": limit_ms, "item": ITEM, "info": "memory_mb:100;lanes:4",
--- a/tests/test_process_operation.py
+++ b/tests/test_process_operation.py
@@ -52,9 +52,13 @@
         while not self.done.is_set():
             bodies = dict[int, bytes]()
             try:
-                for n in range(3):
-                    body = b"%d %d" % (self.asked, n)
-                    bodies[client.call(self.class_name, body, unique=f"{id(self)}-{self.asked}-{n}")] = body
+                # In one piece: with a pause of this thread between them, as on a busy machine, the program
+                # may answer the first, find the connection quiet and rightly end it before the others come.
+                with client.together():
+                    for n in range(3):
+                        body = b"%d %d" % (self.asked, n)
+                        once = f"{id(self)}-{self.asked}-{n}"
+                        bodies[client.call(self.class_name, body, unique=once)] = body
                 while bodies:
                     answer = client.read()
                     if answer is None:
