--- a/maplestile/cli.py
+++ b/maplestile/cli.py
@@ -256,21 +256,28 @@
 
 def _model(asked: argparse.Namespace) -> int:
     """Exit 0 with the figures; 2 for a file that cannot be used, with the field named."""
-    from maplestile.model import experiment, report, run
+    from maplestile.model import experiment, report, rollout, run
 
+    spread: report.Spread | None = None
     try:
-        told = experiment.load(asked.file)
+        told = experiment.read(asked.file)
+        if told.get("kind") == "rollout":
+            plan = rollout.parse(told)
+            spread = report.over(rollout.figures, rollout.with_seeds(plan, asked.seeds))
+        else:
+            chosen = experiment.parse(told)
+            if asked.seeds > 1:
+                spread = report.over(run.figures, run.with_seeds(chosen, asked.seeds))
     except ScheduleError as fault:
         print(f"maplestile: {asked.file}: {fault}", file=sys.stderr)
         return 2
-    if asked.seeds > 1:
-        spread = report.spread(run.seeds(told, asked.seeds))
+    if spread is not None:
         print(json.dumps(spread, indent=2) if asked.format == "json" else report.spread_csv(spread), end="\n")
         return 0
-    figures, course = run.run(told)
+    figures, course = run.run(chosen)
     print(report.as_json(figures) if asked.format == "json" else report.as_csv(figures), end="\n")
     if asked.plot is not None:
-        schedule = told.schedule
+        schedule = chosen.schedule
         title = f"{asked.file.name}: {schedule.members} members, seed {schedule.seed}"
         report.plot(course, title, asked.plot)
     return 0
--- a/maplestile/model/report.py
+++ b/maplestile/model/report.py
@@ -3,8 +3,12 @@
 import csv
 import io
 import json
+import os
 import statistics
+from collections.abc import Callable, Sequence
+from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
+from typing import TypeVar
 
 from maplestile.model.run import Course
 
@@ -22,6 +26,15 @@
     return out.getvalue()
 
 
+Experiment = TypeVar("Experiment")
+
+
+def over(figures: Callable[[Experiment], dict[str, float | None]], runs: Sequence[Experiment]) -> "Spread":
+    """The spread of the figures over some runs, as many at a time as there are cores."""
+    with ProcessPoolExecutor(min(len(runs), os.cpu_count() or 1)) as pool:
+        return spread(list(pool.map(figures, runs)))
+
+
 Spread = dict[str, dict[str, float] | None]
 
 
--- /dev/null
+++ b/maplestile/model/rollout.py
@@ -0,0 +1,249 @@
+"""Rollouts on the model: the shipped `Control` and `Watcher` on simpy's clock, with many instances.
+
+    kind = "rollout"
+    seed = 11
+    instances = 40               # 2 to 2000
+    agents = 10                  # each manages as many, and votes or asks; one leads
+    action = "restart"           # or replace
+    budget = "10%"
+    duration_s = 600             # the run ends with the rollout, or here
+    commit_ms = 20               # for a command to be agreed on, plus an exponential jitter of the same mean
+    drain_ms = 1000              # from SIGTERM to the end of an instance, plus a jitter of `drain_jitter_ms`
+    drain_jitter_ms = 300
+    start_ms = 300               # until it serves again
+    stuck = 0.0                  # share of drains that take `stuck_s`
+    stuck_s = 30
+    halt_at_s = 5                # an operator halts then, and resumes after `halt_for_s`; 0 for never
+    halt_for_s = 2
+
+    [[outage]]                   # an instance is out by itself, planned by nobody
+    at_s = 20
+    for_s = 5
+    instance = 7
+
+    [[election]]                 # the leader is lost; another leads after `for_s`, without its memory
+    at_s = 10
+    for_s = 1.2
+
+What it leaves out: Raft itself (a command is agreed on after its time), lost words, and the calls."""
+
+import random
+from dataclasses import dataclass, replace
+from typing import Any
+
+import simpy
+
+from maplestile.control.decide import Rules, Watcher, Word
+from maplestile.control.state import ACTIONS, ACTIVE, Control, Lease, Phase, Refusal, Stage, budget_of
+from maplestile.faults.schedule import DURATION_MOST_S, ScheduleError
+from maplestile.table import Table
+
+LOOK_US, WORD_US = 50_000, 500_000  # as the steward looks and tells
+
+
+@dataclass(slots=True, frozen=True)
+class Span:
+    at_us: int
+    for_us: int
+    instance: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    seed: int
+    instances: int
+    agents: int
+    action: str
+    budget: int | str
+    duration_us: int
+    commit_us: int
+    drain_us: int
+    drain_jitter_us: int
+    start_us: int
+    stuck: float
+    stuck_us: int
+    halt_at_us: int
+    halt_for_us: int
+    outages: tuple[Span, ...]
+    elections: tuple[Span, ...]
+
+
+def parse(told: dict[str, Any]) -> Plan:
+    """Raises ScheduleError naming the field."""
+    top = Table(told, "", ScheduleError)
+    top.choice("kind", ("rollout",))
+    instances = top.whole("instances", least=2, most=2000)
+    budget = top.values.pop("budget", 1)
+    try:
+        budget_of(budget, instances)
+    except Refusal as refusal:
+        raise ScheduleError(f"budget: {refusal}") from None
+
+    def us(name: str, default: float, scale: float = 1000.0) -> int:
+        return int(top.number(name, default, most=DURATION_MOST_S * 1000) * scale)
+
+    outages = [_span(table, instances) for table in top.tables("outage", needed=False)]
+    elections = [_span(table, 0) for table in top.tables("election", needed=False)]
+    plan = Plan(
+        seed=top.whole("seed", most=(1 << 63) - 1), instances=instances,
+        agents=top.whole("agents", 3, least=1, most=instances),
+        action=top.choice("action", tuple(a for a in ACTIONS if a != "drain"), "restart"), budget=budget,
+        duration_us=us("duration_s", 600.0, 1e6), commit_us=us("commit_ms", 20.0),
+        drain_us=us("drain_ms", 1000.0), drain_jitter_us=us("drain_jitter_ms", 300.0),
+        start_us=us("start_ms", 300.0), stuck=top.number("stuck", 0.0, most=1.0),
+        stuck_us=us("stuck_s", 30.0, 1e6), halt_at_us=us("halt_at_s", 0.0, 1e6),
+        halt_for_us=us("halt_for_s", 2.0, 1e6), outages=tuple(outages), elections=tuple(elections),
+    )  # fmt: skip
+    top.end()
+    return plan
+
+
+def _span(table: Table, instances: int) -> Span:
+    at_us, for_us = (int(table.number(name, most=DURATION_MOST_S) * 1e6) for name in ("at_s", "for_s"))
+    span = Span(at_us, for_us, table.whole("instance", most=instances - 1) if instances else 0)
+    table.end()
+    return span
+
+
+class Model:
+    def __init__(self, plan: Plan) -> None:
+        self.plan, self.env, self.chance = plan, simpy.Environment(), random.Random(plan.seed)
+        self.control = Control()
+        names = [f"r{n}" for n in range(plan.instances)]
+        for agent in range(plan.agents):
+            theirs = names[agent :: plan.agents]
+            self.control.apply({"do": "register", "agent": f"a{agent}", "instances": theirs})
+        self.names = names
+        self.down = set[str]()  # truly out, planned or not
+        self.lost = set[str]()  # out by an outage
+        self.hands = set[int]()  # leases that their agents have in hand
+        self.watcher: Watcher | None = Watcher(Rules(), 0)
+        self.pending = False
+        self.worst_out = self.worst_planned = 0
+        self.begins: list[int] = []
+        self.halted_us: list[int] = []
+        self.halts = 0
+        self.ended_us: int | None = None
+
+    @property
+    def now(self) -> int:
+        return int(self.env.now)
+
+    def run(self) -> dict[str, float | None]:
+        plan = self.plan
+        start: dict[str, Any] = {"do": "start", "action": plan.action, "targets": [], "budget": plan.budget}
+        reply = self.control.apply(start)
+        assert reply["ok"], reply
+        self.env.process(self._look())
+        self.env.process(self._words())
+        for outage in self.plan.outages:
+            self.env.process(self._outage(outage))
+        for election in self.plan.elections:
+            self.env.process(self._election(election))
+        if self.plan.halt_at_us:
+            self.env.process(self._operator())
+        self.env.run(until=self.plan.duration_us)
+        return self._figures()
+
+    def _commit(self) -> simpy.events.Timeout:
+        """The time until a command is agreed on."""
+        jitter = int(self.chance.expovariate(1.0) * self.plan.commit_us)
+        return self.env.timeout(self.plan.commit_us + jitter)
+
+    def _look(self) -> simpy.events.ProcessGenerator:
+        while True:
+            for lease in list(self.control.leases.values()):
+                if lease.stage is Stage.GRANTED and lease.number not in self.hands:
+                    self.hands.add(lease.number)
+                    self.env.process(self._step(lease))
+            if self.watcher is not None and not self.pending:
+                command = self.watcher.decide(self.control, frozenset(), 1, self.now)
+                if command is not None:
+                    self.pending = True
+                    self.env.process(self._decided(command))
+            rollout = self.control.rollout
+            if rollout is not None and rollout.phase not in ACTIVE:
+                self.ended_us = self.now
+                return
+            yield self.env.timeout(LOOK_US)
+
+    def _decided(self, command: dict[str, Any]) -> simpy.events.ProcessGenerator:
+        yield self._commit()
+        self.pending = False
+        if self.control.apply(command)["ok"] and command["do"] == "halt":
+            self.halts += 1
+            yield self.env.timeout(self.plan.halt_for_us)  # an operator looks, and has it go on
+            self.control.apply({"do": "resume"})
+
+    def _words(self) -> simpy.events.ProcessGenerator:
+        while True:
+            if self.watcher is not None:
+                self.watcher.hear({name: Word(name not in self.down) for name in self.names}, self.now)
+            yield self.env.timeout(WORD_US)
+
+    def _step(self, lease: Lease) -> simpy.events.ProcessGenerator:
+        told = {"agent": lease.holder, "instance": lease.instance, "lease": lease.number}
+        yield self._commit()
+        if not self.control.apply({"do": "begin", **told})["ok"]:
+            return
+        self.begins.append(self.now)
+        self._out(lease.instance)
+        jitter = int(self.chance.expovariate(1.0) * self.plan.drain_jitter_us)
+        stuck = self.chance.random() < self.plan.stuck
+        drain_us = self.plan.stuck_us if stuck else self.plan.drain_us + jitter
+        yield self.env.timeout(drain_us + self.plan.start_us)
+        if lease.instance not in self.lost:
+            self.down.discard(lease.instance)
+        yield self._commit()
+        self.control.apply({"do": "back", **told})
+
+    def _out(self, name: str) -> None:
+        self.down.add(name)
+        self.worst_out = max(self.worst_out, len(self.down))
+        self.worst_planned = max(self.worst_planned, len(self.down - self.lost))
+
+    def _outage(self, outage: Span) -> simpy.events.ProcessGenerator:
+        yield self.env.timeout(outage.at_us)
+        name = self.names[outage.instance]
+        self.lost.add(name)
+        self._out(name)
+        yield self.env.timeout(outage.for_us)
+        self.lost.discard(name)
+        if name not in self.control.leases:
+            self.down.discard(name)
+
+    def _election(self, election: Span) -> simpy.events.ProcessGenerator:
+        yield self.env.timeout(election.at_us)
+        self.watcher = None
+        yield self.env.timeout(election.for_us)
+        self.watcher = Watcher(Rules(), self.now)
+
+    def _operator(self) -> simpy.events.ProcessGenerator:
+        yield self.env.timeout(self.plan.halt_at_us)
+        asked_us = self.now
+        yield self._commit()
+        if not self.control.apply({"do": "halt", "reason": "by the plan"})["ok"]:
+            return
+        yield self.env.timeout(self.plan.halt_for_us)
+        late = [at for at in self.begins if at > asked_us]
+        self.halted_us.append(max(late) - asked_us if late else 0)
+        self.control.apply({"do": "resume"})
+
+    def _figures(self) -> dict[str, float | None]:
+        rollout = self.control.rollout
+        assert rollout is not None
+        return {
+            "instances": self.plan.instances, "budget": rollout.budget,
+            "done": len(rollout.done), "ended": int(rollout.phase is Phase.DONE),
+            "seconds": None if self.ended_us is None else round(self.ended_us / 1e6, 3),
+            "most_out": self.worst_out, "most_out_planned": self.worst_planned, "halts_by_itself": self.halts,
+            "last_step_after_halt_ms": max(self.halted_us) / 1000 if self.halted_us else None,
+        }  # fmt: skip
+
+
+def figures(plan: Plan) -> dict[str, float | None]:
+    return Model(plan).run()
+
+
+def with_seeds(plan: Plan, count: int) -> list[Plan]:
+    return [replace(plan, seed=plan.seed + n) for n in range(count)]
--- a/maplestile/model/run.py
+++ b/maplestile/model/run.py
@@ -4,10 +4,8 @@
 system's buffers, and any limit on a socket. The figures come out of `run` as a flat, ordered dict."""
 
 import functools
-import os
 import random
 import statistics
-from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field, replace
 
 import simpy
@@ -20,6 +18,7 @@
 from maplestile.peers.tuning import Tuning
 from maplestile.peers.watch import Watch
 
+Figures = dict[str, float | None]
 HOST = "model"  # members' addresses are (HOST, number): nothing is sent anywhere
 INBOX_MOST = 1024  # datagrams a paused member's socket keeps; the rest are lost, as in the system's buffer
 SAMPLED = 64  # members looked at each period for the course of the run
@@ -259,16 +258,17 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
-def run(experiment: Experiment) -> tuple[dict[str, float | None], Course]:
+def run(experiment: Experiment) -> tuple[Figures, Course]:
     model = Model(experiment)
     figures = model.run()
     return figures, model.course
 
 
-def seeds(experiment: Experiment, count: int) -> list[dict[str, float | None]]:
-    """The figures under `count` seeds, from the experiment's own on, a process each at a time a core."""
+def figures(experiment: Experiment) -> Figures:
+    return run(experiment)[0]
+
+
+def with_seeds(experiment: Experiment, count: int) -> list[Experiment]:
     schedule = experiment.schedule
     schedules = (replace(schedule, seed=schedule.seed + n) for n in range(count))
-    chosen = [replace(experiment, schedule=one) for one in schedules]
-    with ProcessPoolExecutor(min(count, os.cpu_count() or 1)) as pool:
-        return [figures for figures, _ in pool.map(run, chosen)]
+    return [replace(experiment, schedule=one) for one in schedules]
--- a/maplestile/net/raft.py
+++ b/maplestile/net/raft.py
@@ -4,14 +4,13 @@
 event loop by ticks, so `Control` is touched by one thread alone."""
 
 import asyncio
-import functools
 import logging
 import time
 from collections import Counter
 from collections.abc import Mapping
 from typing import Any
 
-from pysyncobj import SyncObj, SyncObjConf, replicated  # type: ignore[import-untyped]
+from pysyncobj import FAIL_REASON, SyncObj, SyncObjConf, replicated  # type: ignore[import-untyped]
 from pysyncobj.node import TCPNode  # type: ignore[import-untyped]
 
 from maplestile.control.plan import ControlPlan
@@ -20,6 +19,10 @@
 log = logging.getLogger("maplestile.control")
 TICK_S = 0.01
 ANSWER_S = 5.0  # for a command to be agreed on: an election takes up to 1.4 s, a lossy link more than one
+AGAIN_S = 0.1
+# The library's reasons for which a command is surely not in the log: its queue was full, no leader was known,
+# another entry stands in its place.
+NOT_TAKEN = (FAIL_REASON.QUEUE_FULL, FAIL_REASON.MISSING_LEADER, FAIL_REASON.DISCARDED)
 LEADER = 2  # the library's number for that state
 # What is agreed rarely and must be seen soon: a leader lost is replaced within 0.4 to 1.4 s of its last word.
 TIMES = {"raftMinTimeout": 0.5, "raftMaxTimeout": 1.4, "appendEntriesPeriod": 0.1, "connectionTimeout": 3.5,
@@ -68,8 +71,10 @@
         plan.folder.mkdir(parents=True, exist_ok=True)
         mine = next(voter for voter in plan.voters if voter.name == plan.name)
         others = [node_of(voter.address, voter.reach) for voter in plan.voters if voter.name != plan.name]
+        # No command waits here for a leader: asked of a voter that is cut off, it must not take effect once
+        # that is healed, long after its operator has heard that it failed.
         conf = SyncObjConf(
-            autoTick=False, bindAddress=plan.listen, commandsWaitLeader=True, useFork=False,
+            autoTick=False, bindAddress=plan.listen, commandsWaitLeader=False, useFork=False,
             journalFile=str(plan.folder / "journal"), fullDumpFile=str(plan.folder / "snapshot"), **TIMES,
         )  # fmt: skip
         self.replica = Replica(TCPNode(mine.address), others, conf)
@@ -104,29 +109,35 @@
             self.replica.destroy()
 
     async def submit(self, command: Command) -> Reply:
-        """Have a command agreed on and applied; its answer. Raises LogError where its fate is not known."""
-        loop = asyncio.get_running_loop()
-        answer: asyncio.Future[Reply] = loop.create_future()
+        """Have a command agreed on and applied; its answer. Raises LogError where no leader took it in time,
+        or where its fate is not known; the text says which."""
         began = time.monotonic()
-        self.replica.apply_command(command, callback=functools.partial(_answered, answer))
-        try:
-            async with asyncio.timeout(ANSWER_S):
-                reply = await answer
-        except TimeoutError:
-            self.counters["control.unanswered"] += 1
-            raise LogError(f"no majority agreed within {ANSWER_S:.0f} s; it may yet take effect") from None
+        while True:
+            reply, fault = await self._once(command, began + ANSWER_S - time.monotonic())
+            if reply is not None and not fault:
+                break
+            if fault not in NOT_TAKEN:
+                raise LogError(f"the leader changed meanwhile (reason {fault}); it may yet take effect")
+            if time.monotonic() - began > ANSWER_S - AGAIN_S:
+                self.counters["control.no_leader"] += 1
+                raise LogError(f"no leader within {ANSWER_S:.0f} s: it was not taken")
+            await asyncio.sleep(AGAIN_S)
         self.counters["control.commands"] += 1
-        self.counters["control.slowest_us"] = max(
-            self.counters["control.slowest_us"], int((time.monotonic() - began) * 1e6)
-        )
+        took_us = int((time.monotonic() - began) * 1e6)
+        self.counters["control.slowest_us"] = max(self.counters["control.slowest_us"], took_us)
         return reply
 
+    async def _once(self, command: Command, wait_s: float) -> tuple[Reply | None, int]:
+        answer: asyncio.Future[tuple[Reply | None, int]] = asyncio.get_running_loop().create_future()
+
+        def answered(reply: Reply | None, fault: int) -> None:
+            if not answer.done():
+                answer.set_result((reply, fault))
 
-def _answered(answer: "asyncio.Future[Reply]", reply: Reply | None, fault: int) -> None:
-    if answer.done():
-        return
-    if reply is None or fault:
-        told = f"the leader changed meanwhile (reason {fault}); it may yet take effect"
-        answer.set_exception(LogError(told))
-    else:
-        answer.set_result(reply)
+        self.replica.apply_command(command, callback=answered)
+        try:
+            async with asyncio.timeout(max(wait_s, AGAIN_S)):
+                return await answer
+        except TimeoutError:
+            self.counters["control.unanswered"] += 1
+            raise LogError(f"no majority agreed within {ANSWER_S:.0f} s; it may yet take effect") from None
--- a/maplestile/peers/swim.py
+++ b/maplestile/peers/swim.py
@@ -517,9 +517,10 @@
         if self.seeds and len(self.live()) == 1:
             for seed in self.seeds:
                 self._push("join", seed)
-        dead = [member for member in self.members.values() if member.status is Status.DEAD]
-        if dead:
-            self._push("join", self.random.choice(dead).address)
+        # Also one that left: it may be back under its address, with no seed of its own that lives.
+        gone = [member for member in self.members.values() if member.status not in IN_VIEW]
+        if gone:
+            self._push("join", self.random.choice(gone).address)
 
     # Cut off or not.
 
--- a/maplestile/steward.py
+++ b/maplestile/steward.py
@@ -64,6 +64,7 @@
         self.plan, self.plane, self.hands, self.counters = plan, plane, hands, counters
         self.events = logs.events("control")
         self.steps: dict[int, asyncio.Task[None]] = {}  # by the number of the lease
+        self.asking = set[int]()  # leases that this process asked to begin, without an answer yet
         self.registered = False
         self.worded = -REST_S
         self.watcher: Watcher | None = None  # while this voter leads
@@ -130,14 +131,16 @@
     async def _step(self, lease: Lease, hands: Hands) -> None:
         told = {"instance": lease.instance, "lease": lease.number}
         action, stage = lease.action, lease.stage
+        # Not the first: begun by the process before this one, which has started all its instances since; or
+        # drained, and started by somebody since.
+        first = stage is Stage.GRANTED or lease.number in self.asking
         if stage is Stage.GRANTED:
             # What was read of the lease may be old, and a halt or a release may stand after it in the log.
+            self.asking.add(lease.number)  # where its answer is lost the lease is found begun, and untouched
             if await self._submit({"do": "begin", **told}) is None:
                 return
-            self.events.info("begin", action=action, **told)
-        else:  # begun by this agent before it was started anew, or started since it was drained
-            self.events.info("take up", action=action, stage=stage.value, **told)
-        first = stage is Stage.GRANTED
+        self.asking.discard(lease.number)
+        self.events.info("begin" if first else "take up", action=action, **told)
         if action == "drain":
             await self._drain(hands, told)
             if stage is not Stage.OUT:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -217,7 +217,8 @@
         ):  # fmt: skip
             assert old in text, old
             text = text.replace(old, new)
-        peers = PEERS.format(advertise=self.relay.fronts[n], seeds=f'"{self.relay.fronts[0]}"' if n else "")
+        seeds = ", ".join(f'"{front}"' for front in self.relay.fronts[: len(self.names)])
+        peers = PEERS.format(advertise=self.relay.fronts[n], seeds=seeds)
         peers = peers.replace('listen = "127.0.0.1:0"', f'listen = "127.0.0.1:{self.udp[n]}"')
         (self.folder / f"r{n}.toml").write_text(text + peers)
 
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,287 @@
+"""The agreed state and the decisions of rollouts, without I/O: cases, and random orders of events."""
+
+import random
+import unittest
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from maplestile.control.decide import Rules, Watcher, Word
+from maplestile.control.state import ACTIVE, Control, Phase, Refusal, Stage, budget_of
+
+S = 1_000_000
+NAMES = [f"r{n}" for n in range(5)]
+
+
+def control(**owners: list[str]) -> Control:
+    made = Control()
+    for agent, names in (owners or {"a0": NAMES[:2], "a1": NAMES[2:]}).items():
+        assert made.apply({"do": "register", "agent": agent, "instances": names})["ok"]
+    return made
+
+
+class Small:
+    """A leader and agents round one `Control`, at the test's own pace."""
+
+    def __init__(self, test: unittest.TestCase, **rules: Any) -> None:
+        self.test, self.control = test, control()
+        self.now, self.out = 100 * S, frozenset[str]()
+        self.watcher = Watcher(Rules(**{"settle_us": 0, **rules}), self.now)
+        self.words = {name: Word(True) for name in NAMES}
+
+    def ask(self, do: str, **more: Any) -> dict[str, Any]:
+        return self.control.apply({"do": do, **more})
+
+    def ok(self, do: str, **more: Any) -> dict[str, Any]:
+        reply = self.ask(do, **more)
+        self.test.assertTrue(reply["ok"], reply)
+        return reply
+
+    def look(self, after_us: int = 100_000) -> dict[str, Any] | None:
+        """Time passes, the words come, and what the leader decides is applied."""
+        self.now += after_us
+        self.watcher.hear(self.words, self.now)
+        command = self.watcher.decide(self.control, self.out, 1, self.now)
+        if command is not None:
+            self.ok(**command)
+        return command
+
+    def held(self, name: str) -> dict[str, Any]:
+        lease = self.control.leases[name]
+        return {"agent": lease.holder, "instance": name, "lease": lease.number}
+
+    def step(self, name: str, end: str = "back") -> None:
+        held = self.held(name)
+        self.ok("begin", **held)
+        self.ok(end, **held)
+
+
+class DecisionTest(unittest.TestCase):
+    def test_no_step_beyond_the_budget_and_an_outage_counts(self) -> None:
+        fleet = Small(self)
+        fleet.ok("start", action="restart", targets=[], budget=2)
+        fleet.words["r4"] = Word(False)
+        self.assertEqual((fleet.look() or {})["instance"], "r0")
+        self.assertIsNone(fleet.look())  # r0 by its lease and r4 by itself
+        fleet.words["r4"] = Word(True)
+        self.assertEqual((fleet.look() or {})["instance"], "r1")
+        self.assertIsNone(fleet.look())
+        fleet.step("r0")
+        self.assertEqual((fleet.look() or {})["instance"], "r2")
+
+    def test_out_by_membership_or_not_heard_of_is_out(self) -> None:
+        fleet = Small(self)
+        fleet.look()
+        fleet.ok("start", action="restart", targets=["r0"], budget=1)
+        fleet.out = frozenset({"r3"})
+        self.assertIsNone(fleet.look())
+        fleet.out = frozenset()
+        del fleet.words["r3"]
+        fleet.now += 3 * S
+        self.assertIsNone(fleet.look())
+        fleet.words["r3"] = Word(True)
+        self.assertIsNotNone(fleet.look())
+
+    def test_a_new_leader_waits_for_word_of_all_and_then_takes_the_silent_for_lost(self) -> None:
+        fleet = Small(self)
+        fleet.ok("start", action="restart", targets=["r0"], budget=2)
+        del fleet.words["r4"]
+        self.assertIsNone(fleet.look())
+        self.assertIsNotNone(fleet.look(6 * S))  # r4 counts as out, and the budget has room for one more
+
+    def test_more_lost_than_the_budget_halts_the_rollout_once_it_lasts(self) -> None:
+        fleet = Small(self)
+        fleet.ok("start", action="restart", targets=[], budget=1)
+        fleet.look()
+        fleet.words["r4"] = Word(False)
+        self.assertIsNone(fleet.look())
+        self.assertIsNone(fleet.look(2 * S))
+        self.assertEqual((fleet.look(2 * S) or {})["do"], "halt")
+        self.assertIn("r4 without a step", fleet.control.rollout.reason if fleet.control.rollout else "")
+
+    def test_a_step_that_does_not_end_halts(self) -> None:
+        fleet = Small(self, step_us=10 * S)
+        fleet.ok("start", action="restart", targets=[], budget=2)
+        fleet.look()
+        fleet.ok("begin", **fleet.held("r0"))
+        fleet.look()
+        self.assertEqual((fleet.look(11 * S) or {})["do"], "halt")
+        self.assertEqual(list(fleet.control.leases), ["r0"])  # that of r1 was never begun
+
+    def test_a_released_instance_that_fails_calls_halts(self) -> None:
+        for failed, halts in ((1, False), (5, True)):
+            fleet = Small(self, calls_least=20, failed_most=0.1)
+            fleet.words["r0"] = Word(True, 500, 200)  # what it failed before is not held against it
+            fleet.ok("start", action="replace", targets=["r0", "r1"], budget=1)
+            fleet.look()
+            fleet.words["r0"] = Word(True)
+            fleet.look()
+            fleet.step("r0")
+            fleet.look()
+            fleet.words["r0"] = Word(True, 20, failed)
+            command = fleet.look() or {}
+            self.assertEqual(command.get("do") == "halt", halts, command)
+
+
+class StateTest(unittest.TestCase):
+    def test_old_beliefs_are_refused(self) -> None:
+        fleet = Small(self)
+        fleet.ok("start", action="restart", targets=["r0", "r1"], budget=1)
+        number = fleet.control.number
+        grant = {"instance": "r0", "down": [], "after": number, "term": 1, "rollout": number}
+        fleet.ok("grant", **grant)
+        held = fleet.held("r0")
+        for do, more, reason in (
+            ("grant", grant, "something else was granted"),
+            ("grant", {**grant, "instance": "r1", "after": number + 1}, "2 would be out"),
+            ("grant", {**grant, "instance": "r1", "after": number + 1, "rollout": 99}, "the rollout is 1"),
+            ("begin", {**held, "agent": "a1"}, "a1 holds no lease"),
+            ("back", held, "is granted"), ("begin", {**held, "lease": 99}, "holds no lease 99"),
+            ("register", {"agent": "a9", "instances": ["r0"]}, "is managed by a0"),
+            ("dance", {}, "no command"), ("grant", {"instance": "r1"}, "damaged command"),
+        ):  # fmt: skip
+            before = fleet.control.told()
+            reply = fleet.ask(do, **more)
+            self.assertFalse(reply["ok"])
+            self.assertIn(reason, reply["reason"])
+            self.assertEqual(fleet.control.told(), before)
+        fleet.ok("halt", reason="look")
+        self.assertFalse(fleet.ask("begin", **held)["ok"])  # revoked before it was begun
+        fleet.ok("resume")
+        fleet.ok("grant", **{**grant, "after": fleet.control.number})
+        fleet.ok("begin", **fleet.held("r0"))
+        self.assertIn("is begun", fleet.ask("begin", **fleet.held("r0"))["reason"])
+
+    def test_a_drain_stays_out_and_comes_back_in_reverse_order(self) -> None:
+        fleet = Small(self)
+        fleet.ok("start", action="drain", targets=["r0", "r2"], budget=2)
+        for name in ("r0", "r2"):
+            fleet.look()
+            fleet.step(name, "out")
+        assert fleet.control.rollout is not None
+        self.assertIs(fleet.control.rollout.phase, Phase.DONE)
+        self.assertEqual({lease.stage for lease in fleet.control.leases.values()}, {Stage.OUT})
+        self.assertFalse(fleet.ask("start", action="restart", targets=["r1"], budget=2)["ok"])
+        fleet.ok("undo")
+        for name in ("r2", "r0"):
+            # An undo grants anew what is out already: it takes nothing more of the budget.
+            self.assertEqual((fleet.look() or {})["instance"], name)
+            self.assertIsNone(fleet.look())
+            fleet.step(name)
+        self.assertIs(fleet.control.rollout.phase, Phase.UNDONE)
+        self.assertEqual(fleet.control.leases, {})
+
+    def test_budgets(self) -> None:
+        for told, expected in ((2, 2), ("3", 3), ("25%", 2), ("1%", 1), ("100%", 10)):
+            self.assertEqual(budget_of(told, 10), expected)
+        for bad in (0, -1, True, None, "x", "0%", "101%", 1.5, "-2"):
+            with self.assertRaises(Refusal):
+                budget_of(bad, 10)
+
+    def test_what_is_told_is_read_back_whole(self) -> None:
+        fleet = Small(self)
+        fleet.ok("start", action="drain", targets=["r0"], budget=1)
+        fleet.look()
+        fleet.step("r0", "out")
+        fleet.ok("undo")
+        self.assertEqual(Control.of(fleet.control.told()).told(), fleet.control.told())
+
+
+class Machine(RuleBasedStateMachine):
+    """Any order of operators, agents, losses and elections: the properties hold after each event."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.control, self.now = control(), 100 * S
+        self.watcher = Watcher(Rules(settle_us=0, step_us=20 * S), self.now)
+        self.chance = random.Random(1)
+        self.lost = set[str]()  # out without anybody's word
+        self.begun = set[str]()  # what agents really have in hand or down: the truth beside the state
+        self.released = set[str]()
+
+    @rule(action=st.sampled_from(("restart", "drain", "replace")), budget=st.integers(1, 3),
+          chosen=st.lists(st.sampled_from(NAMES), max_size=4))  # fmt: skip
+    def start(self, action: str, budget: int, chosen: list[str]) -> None:
+        self.control.apply({"do": "start", "action": action, "targets": chosen, "budget": budget})
+
+    @rule(what=st.sampled_from(("halt", "resume", "undo")))
+    def operator(self, what: str) -> None:
+        self.control.apply({"do": what})
+
+    @rule(name=st.sampled_from(NAMES), is_lost=st.booleans())
+    def lose(self, name: str, is_lost: bool) -> None:
+        (self.lost.add if is_lost else self.lost.discard)(name)
+
+    @rule()
+    def elect(self) -> None:
+        self.watcher = Watcher(self.watcher.rules, self.now)
+
+    @rule(pause=st.sampled_from((0, S, 7 * S)))
+    def lead(self, pause: int) -> None:
+        self.now += pause
+        words = {name: Word(name not in self.lost and name not in self.begun) for name in NAMES}
+        self.watcher.hear(words, self.now)
+        command = self.watcher.decide(self.control, frozenset(), 1, self.now)
+        if command is None:
+            return
+        reply = self.control.apply(command)
+        assert reply["ok"], reply  # nothing came between
+        if command["do"] == "grant" and command["instance"] not in self.begun:
+            rollout = self.control.rollout
+            assert rollout is not None
+            down = self.lost | set(self.control.leases)
+            assert len(down) <= rollout.budget, (down, rollout)
+
+    @precondition(lambda self: self.control.leases)
+    @rule(pick=st.integers(0, 9), do=st.sampled_from(("begin", "back", "out")))
+    def agent(self, pick: int, do: str) -> None:
+        leases = sorted(self.control.leases.values(), key=lambda lease: lease.number)
+        lease = leases[pick % len(leases)]
+        told = {"agent": lease.holder, "instance": lease.instance, "lease": lease.number}
+        if self.control.apply({"do": do, **told})["ok"]:
+            (self.begun.discard if do == "back" else self.begun.add)(lease.instance)
+
+    @precondition(lambda self: self.control.leases)
+    @rule(pick=st.integers(0, 9))
+    def release(self, pick: int) -> None:
+        """An operator vouches that it serves."""
+        name = sorted(self.control.leases)[pick % len(self.control.leases)]
+        assert self.control.apply({"do": "release", "instance": name})["ok"]
+        self.begun.discard(name)
+
+    @invariant()
+    def what_is_out_is_counted(self) -> None:
+        assert self.begun <= set(self.control.leases), (self.begun, self.control.leases)
+
+    @invariant()
+    def leases_keep_to_the_budget(self) -> None:
+        rollout = self.control.rollout
+        if rollout is not None and self.control.leases:
+            most = max([rollout.budget, *(old.budget for old in self.control.history)])
+            assert len(self.control.leases) <= most
+
+    @invariant()
+    def ends_are_ends(self) -> None:
+        rollout = self.control.rollout
+        if rollout is None:
+            return
+        if rollout.phase is Phase.DONE:
+            assert set(rollout.done) >= set(rollout.targets)
+        if rollout.phase not in ACTIVE:
+            assert all(lease.stage is Stage.OUT for lease in self.control.leases.values())
+        if rollout.phase is Phase.UNDONE and rollout.action == "drain":
+            assert not set(rollout.done) & set(self.control.leases)
+
+    @invariant()
+    def it_is_read_back_whole(self) -> None:
+        assert Control.of(self.control.told()).told() == self.control.told()
+
+
+RandomTest = Machine.TestCase
+RandomTest.settings = settings(max_examples=150, stateful_step_count=60, deadline=None, derandomize=True)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,125 @@
+"""The load tool: when calls are made, and what is told of each by a front that behaves as told."""
+
+import asyncio
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from maplestile.cli import main
+from maplestile.load import arrivals, client, report
+from maplestile.traces import Trace
+
+Arrival = arrivals.Arrival
+
+
+class ArrivalsTest(unittest.TestCase):
+    def test_a_rate_and_its_weights(self) -> None:
+        made = list(arrivals.poisson({"f": 3.0, "g": 1.0}, 50.0, 40.0, seed=2))
+        self.assertEqual(made, list(arrivals.poisson({"f": 3.0, "g": 1.0}, 50.0, 40.0, seed=2)))
+        self.assertAlmostEqual(len(made) / 2000, 1.0, delta=0.1)
+        self.assertAlmostEqual(sum(a.function == "f" for a in made) / len(made), 0.75, delta=0.05)
+        self.assertEqual(made, sorted(made))
+        self.assertEqual(len(list(arrivals.bounded(made, 10.0, 100_000))), sum(a.at_s <= 10.0 for a in made))
+        self.assertEqual(len(list(arrivals.bounded(made, 40.0, 7))), 7)
+
+    def test_traces_of_both_kinds_are_replayed_from_their_first_call(self) -> None:
+        calls = "app,func,end_timestamp,duration\na,f,10.5,0.5\na,g,12.0,1.0\nb,f,14.0,1.0\n"
+        recorder, trace = self.read(calls)
+        names = arrivals.names_of(trace)
+        self.assertEqual(len(set(names.values())), 3)  # two apps have a function of one name
+        made = arrivals.replay(recorder, names, 2.0)
+        self.assertEqual([a.at_s for a in made], [0.0, 0.5, 1.5])
+        recorder, trace = self.read("HashOwner,HashApp,HashFunction,Trigger,1,2\no,a,f,http,3,2\n")
+        made = arrivals.replay(recorder, arrivals.names_of(trace, "only"), 1.0)
+        self.assertEqual({a.function for a in made}, {"only"})
+        self.assertEqual(len(made), 5)
+        self.assertLess(made[-1].at_s, 120.0)
+
+    def read(self, text: str, most: int = 100) -> tuple[arrivals.Recorder, Trace]:
+        recorder = arrivals.Recorder(1, most)
+        trace = Trace(keep=recorder.keep)
+        trace.read(io.StringIO(text), "t.csv")
+        return recorder, trace
+
+
+class ClientTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.asked: list[bytes] = []
+
+    async def front(self, *answers: bytes) -> tuple[str, int]:
+        """A front that gives these answers in turn, the last for good; an empty one ends the connection."""
+        left = list(answers)
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                while head := await reader.readuntil(b"\r\n\r\n"):
+                    length = int(head.lower().partition(b"content-length:")[2].split(b"\r\n")[0])
+                    self.asked.append(head + await reader.readexactly(length))
+                    answer = left.pop(0) if len(left) > 1 else left[0]
+                    if not answer:
+                        break
+                    writer.write(b"HTTP/1.1 " + answer + b"\r\nContent-Length: 2\r\n\r\nok")
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()[:2]
+        return host, port
+
+    async def load(self, targets: list[tuple[str, int]], count: int, **more: bool) -> client.Result:
+        load = client.Load(targets, client.Ask(b"body", "t", keys=more.get("keys", False)), wait_s=5.0)
+        return await load.run([Arrival(n * 0.005, "f") for n in range(count)], 100)
+
+    async def test_each_call_is_told_by_its_end(self) -> None:
+        front = await self.front(b"200 OK", b"503 Busy", b"429 Many", b"502 Bad", b"504 Late", b"200 OK")
+        result = await self.load([front], 6, keys=True)
+        self.assertEqual(dict(result.ends), {"served": 2, "refused": 2, "failed": 2})
+        told = report.told(result)
+        self.assertEqual((told["calls"], told["served_share"]), (6, round(2 / 6, 6)))
+        keys = {head.partition(b"Idempotency-Key: ")[2].split(b"\r\n")[0] for head in self.asked}
+        self.assertEqual(len(keys), 6)
+
+    async def test_a_call_that_was_sent_and_not_answered_is_lost_and_not_made_again(self) -> None:
+        front = await self.front(b"", b"200 OK")
+        result = await self.load([front], 3)
+        self.assertEqual(dict(result.ends), {"lost": 1, "served": 2})
+        self.assertEqual(len(self.asked), 3)
+
+    async def test_a_front_that_takes_no_connection_is_passed_by(self) -> None:
+        gone = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        dead = gone.sockets[0].getsockname()[:2]
+        gone.close()
+        await gone.wait_closed()
+        result = await self.load([dead, await self.front(b"200 OK")], 4)
+        self.assertEqual((result.ends["served"], result.moved), (4, 2))
+        result = await self.load([dead], 2)
+        self.assertEqual(dict(result.ends), {"nowhere": 2})
+
+
+class CommandTest(unittest.TestCase):
+    def test_arguments_of_no_use_are_named(self) -> None:
+        for words, reason in (
+            (["127.0.0.1:1"], "either --rate or --trace"),
+            (["127.0.0.1:1", "--rate", "5"], "--rate needs a --function"),
+            (["192.0.2.1:1", "--rate", "5", "--function", "f"], "loopback"),
+            (["127.0.0.1:1", "--rate", "5", "--function", "f=x"], "the weight is no number"),
+            (["127.0.0.1:1", "--rate", "5", "--function", "f", "--seconds", "0"], "must be over 0"),
+        ):  # fmt: skip
+            with contextlib.redirect_stderr(io.StringIO()) as told:
+                self.assertEqual(main(["load", *words]), 2)
+            self.assertIn(reason, told.getvalue())
+
+    def test_a_plot_and_the_answer_as_json(self) -> None:
+        file = Path(tempfile.mkdtemp()) / "load.png"
+        with contextlib.redirect_stdout(io.StringIO()) as told:
+            words = ["127.0.0.1:9", "--rate", "50", "--function", "f", "--seconds", "0.2"]
+            self.assertEqual(main(["load", *words, "--plot", str(file)]), 0)
+        self.assertIn("nowhere", json.loads(told.getvalue())["ends"])
+        self.assertEqual(file.read_bytes()[:4], b"\x89PNG")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,7 +7,7 @@
 from maplestile.model import report
 from maplestile.model.experiment import parse
 from maplestile.model.report import as_csv, as_json
-from maplestile.model.run import run, seeds
+from maplestile.model.run import figures, run, with_seeds
 from maplestile.peers import duties
 from maplestile.peers.messages import DatagramError, Entry, Message, decode, encode
 from maplestile.peers.swim import Swim
@@ -71,11 +71,11 @@
         self.assertIn("detection_median_periods,", as_csv(model(seconds=5)))
 
     def test_runs_of_many_seeds_tell_their_spread(self) -> None:
-        told = parse({"seed": 5, "members": 5, "duration_s": 20, "kill": [{"at_s": 5, "member": 1}]})
-        runs = seeds(told, 3)
-        spread = report.spread(runs)
+        chosen = parse({"seed": 5, "members": 5, "duration_s": 20, "kill": [{"at_s": 5, "member": 1}]})
+        runs = [figures(one) for one in with_seeds(chosen, 3)]
+        spread = report.over(figures, with_seeds(chosen, 3))
         detection = spread["detection_median_periods"] or {}
-        values = sorted(figures["detection_median_periods"] or 0 for figures in runs)
+        values = sorted(told["detection_median_periods"] or 0 for told in runs)
         self.assertEqual([detection["min"], detection["median"], detection["max"]], values)
         self.assertIsNone(spread["converged_after_heal_s"])
         self.assertIn("converged_after_heal_s,,,,0", report.spread_csv(spread))
@@ -169,6 +169,35 @@
         self.assertEqual([swim.live() for swim in swims.values()], [["r0", "r1", "r2"]] * 3)
 
 
+class ReturnTest(unittest.TestCase):
+    def test_one_that_left_and_comes_back_with_no_seed_is_found_again(self) -> None:
+        tuning = Tuning(period_us=100_000, ack_us=40_000)
+        swims = [Swim(f"r{n}", ("h", n), tuning, n, 0) for n in range(3)]
+        for swim in swims[1:]:
+            swim.join([("h", 0)], 0)
+        now = 0
+
+        def go_on(steps: int) -> None:
+            nonlocal now
+            for _ in range(steps):
+                now += 10_000
+                for swim in swims:
+                    swim.tick(now)
+                while any(swim.outbox for swim in swims):
+                    for swim in swims:
+                        outbox, swim.outbox = swim.outbox, []
+                        for to, message in outbox:
+                            swims[to[1]].receive(message, now)
+
+        go_on(200)
+        swims[0].leave(now)
+        go_on(100)
+        self.assertEqual(swims[1].live(), ["r1", "r2"])
+        swims[0] = Swim("r0", ("h", 0), tuning, 9, now)  # its file names no seed: it was the first
+        go_on(300)
+        self.assertEqual([swim.live() for swim in swims], [["r0", "r1", "r2"]] * 3)
+
+
 class WatchTest(unittest.TestCase):
     """Runners probed by their owners, on the model and by themselves."""
 
--- /dev/null
+++ b/tests/test_process_rollout.py
@@ -0,0 +1,287 @@
+"""Rollouts agreed on by three agents with two real routers each, through the fault relay, calls flowing."""
+
+import asyncio
+import base64
+import contextlib
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+import unittest
+from collections import Counter
+from typing import Any
+
+from maplestile import agent
+from tests.fleet import AGENTS, EACH, FOREVER, Fleet
+from tests.standins import PATIENCE_S, ROOT, eventually
+
+RATE = 40
+
+
+class Calls:
+    """The load tool as a process, at the invoke fronts of a fleet, for so many seconds."""
+
+    def __init__(self, fleet: Fleet, seconds: float) -> None:
+        fronts = [f"127.0.0.1:{port}" for port in fleet.invoke]
+        words = ["--function", "score-bangla=3", "--function", "make-cards", "--tenant", "shapla-tutors",
+                 "--rate", str(RATE), "--seconds", str(seconds), "--seed", "4"]  # fmt: skip
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "maplestile", "load", *fronts, *words], stdout=subprocess.PIPE, cwd=ROOT
+        )
+        fleet.test.addCleanup(self._end)
+
+    def _end(self) -> None:
+        self.process.kill()
+        self.process.communicate()
+
+    def result(self) -> dict[str, Any]:
+        told: dict[str, Any] = json.loads(self.process.communicate(timeout=60)[0])
+        return told
+
+
+class FleetTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = Fleet(self, self.step_s())
+        self.fleet.until_whole()
+
+    def step_s(self) -> float:
+        return 30.0
+
+    def start(self, number: int, *words: str) -> None:
+        code, _, err = self.fleet.run(number, "rollout", "start", *words)
+        self.assertEqual((code, err), (0, ""))
+
+    def agents(self, *besides: int) -> list[int]:
+        return [n for n in range(AGENTS) if n not in besides]
+
+    def kept(self, budget: int) -> None:
+        """Never more out than the budget, by the logs and by what the log of Raft holds."""
+        self.assertLessEqual(self.fleet.worst_out(), budget)
+        self.assertGreater(self.fleet.worst_out(), 0)
+
+    def no_call_lost_or_run_twice(self, result: dict[str, Any]) -> None:
+        self.assertLessEqual(set(result["ends"]), {"served", "refused"}, result)
+        self.assertGreater(result["served_share"], 0.9)
+        ran = Counter(call["call"] for worker in self.fleet.workers for call in worker.ran)
+        self.assertEqual([call for call, count in ran.items() if count > 1], [])
+
+    def theirs(self, agents: list[int]) -> set[str]:
+        return {f"r{n}" for number in agents for n in range(number * EACH, number * EACH + EACH)}
+
+    def status(self) -> dict[str, Any]:
+        rollout: dict[str, Any] = self.fleet.status(0)["rollout"]
+        return rollout
+
+    def until_event(self, event: str, instance: str = "") -> None:
+        def seen() -> bool:
+            told = (t for t in self.fleet.events() if t["event"] == event)
+            return any(instance in ("", t["instance"]) for t in told)
+
+        eventually(seen, f"{event} {instance}")
+
+    @staticmethod
+    def kill(pid: int) -> None:
+        os.kill(pid, signal.SIGKILL)
+
+
+class RolloutTest(FleetTest):
+    def test_all_are_restarted_under_load_within_the_budget(self) -> None:
+        pids = {name: self.fleet.pid(name) for name in self.fleet.names}
+        calls = Calls(self.fleet, 10)
+        self.start(1, "--budget", "2")
+        self.fleet.until_phase(2, "done")
+        self.kept(2)
+        self.no_call_lost_or_run_twice(calls.result())
+        after = {name: self.fleet.pid(name) for name in self.fleet.names}
+        self.assertTrue(all(after[name] != pids[name] for name in pids))
+        drained = [told["instance"] for told in self.fleet.events() if told["event"] == "drained"]
+        self.assertEqual(sorted(drained), self.fleet.names)
+
+    def test_of_two_operators_at_once_one_wins_and_the_other_hears_why(self) -> None:
+        answers = list[dict[str, Any]]()
+
+        def start(number: int) -> None:
+            where, command = ("127.0.0.1", self.fleet.listens[number]), {"action": "restart", "budget": 1}
+            asked = agent.ask(where, "rollout", [], what="start", command={**command, "targets": ["r0"]})
+            answers.append(asyncio.run(asked))
+
+        threads = [threading.Thread(target=start, args=(number,)) for number in (0, 2)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(PATIENCE_S)
+        refused = [answer["error"] for answer in answers if "error" in answer]
+        self.assertEqual((len(answers), len(refused)), (2, 1))
+        self.assertIn("is running: it has to end, or be undone, first", refused[0])
+        self.fleet.until_phase(1, "done")
+        starts = [told for told in self.fleet.events() if told["event"] == "operator start"]
+        self.assertEqual(len(starts), 1)
+        for words, reason in (
+            (("start", "--budget", "2", "r9"), "unknown instance: r9"),
+            (("start", "--budget", "none"), "budget: must be a count"),
+            (("start", "--budget", "0%"), "budget: 0% is not"),
+            (("start", "--action", "drain", "--budget", "1", "r0", "r1"), "a drain leaves 2 out"),
+            (("halt",), "is done"), (("release", "r0"), "'r0' is not out"),
+        ):  # fmt: skip
+            code, _, err = self.fleet.run(0, "rollout", *words)
+            self.assertEqual(code, 1)
+            self.assertIn(reason, err)
+        self.assertEqual(self.fleet.status(0)["leases"], [])  # nothing half done
+
+    def test_a_drain_is_halted_and_undone_in_reverse_order_under_load(self) -> None:
+        calls = Calls(self.fleet, 10)
+        self.start(0, "--action", "drain", "--budget", "3", "r1", "r2", "r4")
+        eventually(lambda: len(self.status()["done"]) >= 1, "a drained router")
+        self.assertEqual(self.fleet.run(1, "rollout", "halt", "--reason", "a look")[0], 0)
+        halted_us = time.monotonic_ns() // 1000
+        eventually(lambda: all(lease["stage"] == "out" for lease in self.fleet.status(2)["leases"]),
+                   "what was under way to finish")  # fmt: skip
+        time.sleep(1.5)
+        late = [told for told in self.fleet.events()
+                if told["event"] == "begin" and told["t_us"] > halted_us + 1_000_000]  # fmt: skip
+        self.assertEqual(late, [])
+        done = self.status()["done"]
+        self.assertEqual(self.fleet.run(2, "rollout", "undo")[0], 0)
+        self.fleet.until_phase(0, "undone")
+        back = [told["instance"] for told in self.fleet.events() if told["event"] == "back"]
+        self.assertEqual(back, list(reversed(done)))
+        self.kept(3)
+        self.no_call_lost_or_run_twice(calls.result())
+        self.assertEqual(self.fleet.run(0, "ready")[0], 0)
+
+    def test_with_the_leaders_machine_lost_the_others_go_on_and_it_is_made_up_for(self) -> None:
+        leader = self.fleet.leader()
+        assert leader is not None
+        others = self.agents(leader)
+        self.start(others[0], "--budget", "3")
+        self.until_event("begin")
+        lost = self.fleet.agents[leader]
+        orphans = self.fleet.routers_of(lost)
+        lost.process.kill()
+        for pid in orphans:  # a whole machine
+            self.kill(pid)
+        theirs = self.theirs(others)
+        eventually(lambda: theirs <= set(self.fleet.status(others[0])["rollout"]["done"]), "the others")
+        self.assertLessEqual(self.fleet.worst_out(), 3)
+        lost.process.wait()
+        log = list(lost.log)
+        self.fleet.agents[leader] = self.fleet.start(leader)
+        self.fleet.agents[leader].log[:0] = log
+        self.fleet.until_phase(others[1], "done")
+        self.assertEqual(self.fleet.status(leader)["leases"], [])
+
+    def test_a_split_with_the_leader_on_the_small_side_starts_nothing_there(self) -> None:
+        leader = self.fleet.leader()
+        assert leader is not None
+        others = self.agents(leader)
+        self.start(others[0], "--budget", "3")
+        self.until_event("begin")
+        small = [leader * EACH, leader * EACH + 1, len(self.fleet.names) + leader]
+        self.fleet.relay.begin(split=[{**FOREVER, "sides": [small]}])
+        split_us = time.monotonic_ns() // 1000
+        eventually(lambda: self.fleet.leader(others) is not None, "a leader on the large side")
+        theirs = self.theirs(others)
+        eventually(lambda: theirs <= set(self.fleet.status(others[0])["rollout"]["done"]), "the others")
+        code, _, err = self.fleet.run(leader, "rollout", "halt")
+        self.assertEqual(code, 1)
+        self.assertIn("it was not taken", err)  # and so it must not take effect at the healing
+        begun = [told["instance"] for told in self.fleet.events()
+                 if told["event"] == "begin" and told["t_us"] > split_us + 1_000_000]  # fmt: skip
+        self.assertLessEqual(set(begun), theirs)
+        self.fleet.relay.ask("heal")
+        self.fleet.until_phase(leader, "done")
+        self.kept(3)
+
+    def test_a_fifth_of_all_messages_lost_delays_a_rollout_and_breaks_nothing(self) -> None:
+        self.fleet.relay.begin(net={"loss": 0.2})
+        eventually(lambda: self.fleet.run(0, "rollout", "start", "--budget", "2")[0] == 0, "the start")
+        eventually(lambda: self.fleet.phase(0) == "done" or self.fleet.phase(0) == "halted", "an end")
+        if self.fleet.phase(0) == "halted":  # it saw an outage that was none, which an operator may judge
+            self.fleet.relay.ask("heal")
+            self.fleet.run(0, "rollout", "resume")
+            self.fleet.until_phase(0, "done")
+        self.kept(2)
+
+
+class StuckTest(FleetTest):
+    """Steps that take longer than they may."""
+
+    def step_s(self) -> float:
+        return 4.0
+
+    def test_a_router_that_stands_still_in_its_drain_is_not_called_drained(self) -> None:
+        pid = self.fleet.pid("r0")
+        hung = self.hang(0)
+        self.start(1, "--budget", "1", "r0", "r3")
+        self.until_event("begin")
+        os.kill(pid, signal.SIGSTOP)
+        try:
+            self.fleet.until_phase(1, "halted")
+            rollout = self.fleet.status(1)["rollout"]
+            self.assertIn("r0 takes over", rollout["reason"])
+            self.assertNotIn("drained", [told["event"] for told in self.fleet.events()])
+            self.assertEqual([lease["instance"] for lease in self.fleet.status(2)["leases"]], ["r0"])
+        finally:
+            os.kill(pid, signal.SIGCONT)
+        eventually(lambda: self.fleet.status(1)["leases"] == [], "its drain, its end and its return")
+        self.assertTrue(hung.answered.wait(PATIENCE_S))
+        self.assertEqual(self.fleet.run(2, "rollout", "resume")[0], 0)
+        self.fleet.until_phase(0, "done")
+        self.kept(1)
+
+    def test_an_agent_that_dies_with_a_lease_keeps_it_until_an_operator_releases_it(self) -> None:
+        number = next(n for n in self.agents() if n != self.fleet.leader())
+        name, other = f"r{number * EACH}", f"r{(number + 1) % AGENTS * EACH}"
+        self.hang(number * EACH)
+        self.start((number + 1) % AGENTS, "--budget", "3", name, other)
+        self.until_event("begin", name)
+        orphans = self.fleet.routers_of(self.fleet.agents[number])
+        self.fleet.agents[number].process.kill()
+        asked = (number + 1) % AGENTS
+        self.fleet.until_phase(asked, "halted")
+        held = [lease["instance"] for lease in self.fleet.status(asked)["leases"]]
+        self.assertEqual(held, [name])
+        self.assertEqual(self.fleet.run(asked, "rollout", "release", name)[0], 0)
+        self.assertEqual(self.fleet.status(asked)["leases"], [])
+        for pid in orphans:
+            self.kill(pid)
+        self.fleet.agents[number].process.wait()
+        self.fleet.agents[number] = self.fleet.start(number)
+        eventually(lambda: self.fleet.run(number, "ready")[0] == 0, "the agent and its routers back")
+        self.fleet.run(asked, "rollout", "resume")
+        self.fleet.until_phase(asked, "done")
+
+    def hang(self, number: int) -> "Hung":
+        hung = Hung(self.fleet.invoke[number])
+        eventually(lambda: any(b"hang" in worker_bytes(call) for worker in self.fleet.workers
+                               for call in worker.ran), "the call that hangs")  # fmt: skip
+        return hung
+
+
+def worker_bytes(call: dict[str, Any]) -> bytes:
+    return base64.b64decode(call["bytes"])
+
+
+class Hung(threading.Thread):
+    """A call that its worker never answers, so that its router owes an answer until the call's deadline."""
+
+    def __init__(self, port: int) -> None:
+        super().__init__(daemon=True)
+        self.port, self.answered = port, threading.Event()
+        self.start()
+
+    def run(self) -> None:
+        link = http.client.HTTPConnection("127.0.0.1", self.port, timeout=PATIENCE_S)
+        headers = {"Maplestile-Tenant": "shapla-tutors", "Maplestile-Deadline-Ms": "5000"}
+        with contextlib.suppress(OSError, http.client.HTTPException):  # where a test kills its router
+            link.request("POST", "/v1/functions/score-bangla/invocations", b"hang:", headers)
+            link.getresponse().read()
+            self.answered.set()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tools/measure_rollout.py
@@ -0,0 +1,112 @@
+"""Rollouts of six real routers under three voting agents, measured on loopback.
+
+    python -m tools.measure_rollout [--rounds N] [--seconds S]
+
+Each round starts a fleet, calls it with the load tool without a rollout, then restarts all its routers under
+the same load and seed for each budget, halts one rollout, and kills the leader's machine. Prints one JSON
+object with the least, median and greatest over the rounds."""
+
+import argparse
+import json
+import os
+import signal
+import statistics
+import time
+import unittest
+from typing import Any
+
+from tests.fleet import AGENTS, Fleet
+from tests.standins import eventually
+from tests.test_process_rollout import Calls
+
+BUDGETS = (1, 2, 3)
+
+
+def spread(values: list[float]) -> dict[str, float]:
+    ordered = sorted(values)
+    told = {"min": ordered[0], "median": statistics.median(ordered), "max": ordered[-1]}
+    return {key: round(value, 4) for key, value in told.items()} | {"runs": len(ordered)}
+
+
+def one_round(seconds: float, into: dict[str, list[float]]) -> None:
+    test = unittest.TestCase()
+    try:
+        fleet = Fleet(test, 30.0)
+        fleet.until_whole()
+        told(into, "none", Calls(fleet, seconds).result())
+        for budget in BUDGETS:
+            calls = Calls(fleet, seconds)
+            time.sleep(0.7)  # the load tool's own start
+            took = rollout(fleet, budget)
+            into.setdefault(f"seconds, budget {budget}", []).append(took)
+            told(into, f"budget {budget}", calls.result())
+            into.setdefault(f"most out, budget {budget}", []).append(fleet.worst_out())
+            for agent in fleet.agents:
+                agent.log.clear()
+        into.setdefault("last begin after halt ms", []).append(halted(fleet))
+        into.setdefault("failover s", []).append(failover(fleet))
+    finally:
+        test.doCleanups()
+
+
+def told(into: dict[str, list[float]], name: str, result: dict[str, Any]) -> None:
+    into.setdefault(f"served share, {name}", []).append(result["served_share"])
+    into.setdefault(f"p99 ms, {name}", []).append(result["latency_ms"]["p99"])
+    lost = sum(count for end, count in result["ends"].items() if end not in ("served", "refused"))
+    into.setdefault(f"lost or failed calls, {name}", []).append(lost)
+
+
+def rollout(fleet: Fleet, budget: int) -> float:
+    before = (fleet.status(0)["rollout"] or {}).get("number")
+    began = time.monotonic()
+    assert fleet.run(0, "rollout", "start", "--budget", str(budget))[0] == 0
+    def ended() -> bool:
+        rollout = fleet.status(0)["rollout"] or {}
+        return bool(rollout.get("number") != before and rollout.get("phase") == "done")
+
+    eventually(ended, "the rollout")
+    return time.monotonic() - began
+
+
+def halted(fleet: Fleet) -> float:
+    """How long after the operator's word the last step began, in milliseconds; 0 if none did."""
+    assert fleet.run(0, "rollout", "start", "--budget", "2")[0] == 0
+    eventually(lambda: any(one["event"] == "back" for one in fleet.events()), "a step's end")
+    asked_us = time.monotonic_ns() // 1000
+    assert fleet.run(1, "rollout", "halt")[0] == 0
+    time.sleep(2.5)
+    late = [one["t_us"] - asked_us for one in fleet.events() if one["event"] == "begin"]
+    eventually(lambda: fleet.status(0)["leases"] == [], "what was under way")
+    assert fleet.run(1, "rollout", "resume")[0] == 0
+    fleet.until_phase(0, "done")
+    return float(max([0, *late])) / 1000
+
+
+def failover(fleet: Fleet) -> float:
+    """From the kill of the leader's machine until another voter leads and has had a command agreed on."""
+    leader = eventually(lambda: [n for n in [fleet.leader()] if n is not None], "a leader")[0]
+    lost = fleet.agents[leader]
+    routers = fleet.routers_of(lost)
+    began = time.monotonic()
+    lost.process.kill()
+    for pid in routers:
+        os.kill(pid, signal.SIGKILL)
+    others = [n for n in range(AGENTS) if n != leader]
+    start = ("rollout", "start", "--budget", "3", f"r{others[0] * 2}")
+    eventually(lambda: fleet.run(others[0], *start)[0] == 0, "a command agreed on")
+    return time.monotonic() - began
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description="rollouts on sockets")
+    parser.add_argument("--rounds", type=int, default=5)
+    parser.add_argument("--seconds", type=float, default=14.0)
+    asked = parser.parse_args()
+    figures: dict[str, list[float]] = {}
+    for _ in range(asked.rounds):
+        one_round(asked.seconds, figures)
+    print(json.dumps({name: spread(values) for name, values in figures.items()}, indent=2))
+
+
+if __name__ == "__main__":
+    main()
