Roll out to runners as well: out at all routers before any process is touched

Need: releases of runners under the same budget, halt and way back. A runner's lease is the matter of every agent: each suspends it at its routers and says so once nothing is in flight there (GET /v1/runners), the agent of its process renews it, each puts it back. Routers that start anew meanwhile are told again. Process tests: a drain at six routers under load leaves no new call there two seconds after, also from a router restarted meanwhile, and is undone; a restart takes the process only once no router uses it; no call lost in either.

--- a/maplestile/agent.py
+++ b/maplestile/agent.py
@@ -21,7 +21,7 @@
 from maplestile.config import address
 from maplestile.invoke.operator import OperatorError
 from maplestile.invoke.operator import load as load_operator
-from maplestile.operation.api import MEMBERS, METRICS, READY
+from maplestile.operation.api import MEMBERS, METRICS, READY, RUNNERS
 from maplestile.operation.client import CallError, call
 from maplestile.table import Table
 
@@ -225,7 +225,9 @@
             return ""  # there was none
         await process.wait()
         code = process.returncode
-        return "" if code == 0 else f"it ended with {code}"
+        # A router ends by itself once nothing is owed; other programs may leave SIGTERM to the system.
+        clean = code == 0 or code == -signal.SIGTERM and self.spec.file is None
+        return "" if clean else f"it ended with {code}"
 
     def start(self) -> None:
         self.wanted.set()
@@ -254,13 +256,26 @@
                     counts[name] += int(line.rpartition(" ")[2])
         return Word(ready, counts["success"], counts["failure"])
 
-    async def members(self) -> dict[str, str]:
+    async def gone(self) -> set[str]:
         told = await self.operate("GET", MEMBERS)
         try:
             view = json.loads(told["told"]) if told["ok"] else {"members": []}
-            return {member["name"]: member["status"] for member in view["members"]}
+            gone = {member["name"] for member in view["members"] if member["status"] in ("dead", "left")}
+            return gone | set((view.get("watch") or {}).get("silent", ()))
         except (ValueError, KeyError, TypeError):
-            return {}
+            return set()
+
+    async def runners(self) -> dict[str, tuple[bool, int]] | None:
+        told = await self.operate("GET", RUNNERS)
+        try:
+            listed = json.loads(told["told"])["runners"] if told["ok"] else None
+            return None if listed is None else {r["id"]: (r["suspended"], r["inflight"]) for r in listed}
+        except (ValueError, KeyError, TypeError):
+            return None
+
+    async def suspend(self, runner: str, out: bool) -> bool:
+        path = OPERATE["suspend" if out else "resume"][1].format(quote(runner, safe=""))
+        return bool((await self.operate("PUT", path))["ok"])
 
     async def restart(self) -> None:
         self.hurry.set()
@@ -359,7 +374,9 @@
         plane: Plane = Raft(control, self.counters) if control.listen else Asked(control, ask, self.counters)
         # The instances of this program with an operators' front: what can be asked whether it serves.
         hands = {name: one for name, one in self.instances.items() if one.spec.file or one.spec.operator}
-        self.steward = Steward(control, plane, hands, self.counters)
+        # Of the others those whose names are runners' ids are the processes of these.
+        others = {name: one for name, one in self.instances.items() if name not in hands}
+        self.steward = Steward(control, plane, hands, others, self.counters)
         try:
             await self.steward.run()
         except Exception:
--- a/maplestile/cli.py
+++ b/maplestile/cli.py
@@ -59,6 +59,7 @@
         if what == "start":
             one.add_argument("--action", choices=ACTIONS, default="restart")
             one.add_argument("--budget", help="the most out at once: a count, or a share such as 25%%")
+            one.add_argument("--runners", action="store_true", help="the names are runners' ids")
             one.add_argument("instance", nargs="*")
         if what in ("halt", "undo"):
             one.add_argument("--reason", default="")
@@ -171,7 +172,8 @@
     command: dict[str, Any] = {}
     match asked.what:
         case "start":
-            command = {"action": asked.action, "targets": asked.instance, "budget": asked.budget}
+            command = {"action": asked.action, "targets": asked.instance, "budget": asked.budget,
+                       "kind": "runners" if asked.runners else "routers"}  # fmt: skip
         case "halt" | "undo":
             command = {"reason": asked.reason}
         case "release":
@@ -197,8 +199,8 @@
     else:
         reason = f": {rollout['reason']}" if rollout["reason"] else ""
         done = f"{len(rollout['done'])} of {len(rollout['targets'])} done"
-        print(f"rollout {rollout['number']}", rollout["action"], f"{rollout['phase']}{reason}", done,
-              f"budget {rollout['budget']}", sep="\t")  # fmt: skip
+        what, phase = f"{rollout['action']} {rollout['kind']}", f"{rollout['phase']}{reason}"
+        print(f"rollout {rollout['number']}", what, phase, done, f"budget {rollout['budget']}", sep="\t")
     for lease in told["leases"]:
         held = f"held by {lease['holder']}"
         print(f"out: {lease['instance']}", lease["action"], lease["stage"], held, sep="\t")
--- a/maplestile/control/decide.py
+++ b/maplestile/control/decide.py
@@ -55,8 +55,11 @@
         for name, word in words.items():
             self.heard[name] = Heard(word, now_us)
 
-    def down(self, control: Control, members_out: frozenset[str], now_us: int) -> list[str]:
-        """Instances that are out without a lease: not ready, not heard of lately, or out by membership."""
+    def down(self, control: Control, kind: str, members_out: frozenset[str], now_us: int) -> list[str]:
+        """Those out without a lease. Instances: not ready, not heard of lately, or out by membership.
+        Runners: those that their owners among the routers find silent (`members_out` holds them, too)."""
+        if kind == "runners":
+            return [name for name in control.runners if name not in control.leases and name in members_out]
         unleased = (name for name in sorted(control.instances) if name not in control.leases)
         return [name for name in unleased if name in members_out or not self._serves(name, now_us)]
 
@@ -75,15 +78,15 @@
         known = all(name in self.heard for name in control.instances)
         if not known and now_us - self.began_us < self.rules.grace_us:
             return None  # a new leader: what it has not heard of yet must not pass for lost
-        down = self.down(control, members_out, now_us)
-        out = len(control.leases) + len(down)
+        down = self.down(control, rollout.kind, members_out, now_us)
+        out = len(control.out(rollout.kind)) + len(down)
         if (reason := self._ailing(control, down, out, now_us)) and rollout.phase is Phase.RUNNING:
             return {"do": "halt", "rollout": rollout.number, "reason": reason}
         step = control.next_step()
         if step is None or now_us - self.ended_us < self.rules.settle_us:
             return None
         # One already out, by its own lease or by an outage, takes up no more of the budget by its step.
-        counted = {*control.leases, *down, step[0]}
+        counted = {*control.out(rollout.kind), *down, step[0]}
         if len(counted) > rollout.budget:
             return None
         return {"do": "grant", "rollout": rollout.number, "instance": step[0], "down": down,
--- a/maplestile/control/state.py
+++ b/maplestile/control/state.py
@@ -11,7 +11,14 @@
                           +--halt, undo: never begun--> gone
                           +--release, by an operator--> gone
 
-An instance is counted out from the grant until its lease is gone. A lease whose holder has died stays."""
+An instance is counted out from the grant until its lease is gone. A lease whose holder has died stays.
+
+Routers are instances of agents. A runner is out at all routers, so its lease is the matter of every agent:
+each has a part in it, and the lease moves on once all have said the same.
+
+    GRANTED --begun by any--> BEGUN --out, by all agents--> AWAY --renewed, by its holder--> RETURNING
+       |                        (of a drain: OUT, until an undo)                --in, by all--> gone
+       +--halt, undo: never begun--> gone"""
 
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
@@ -19,6 +26,7 @@
 from typing import Any
 
 ACTIONS = ("restart", "drain", "replace")
+KINDS = ("routers", "runners")
 HISTORY_MOST, NAME_BYTES, TARGETS_MOST = 20, 64, 2000
 Command = dict[str, Any]
 Reply = dict[str, Any]
@@ -39,6 +47,8 @@
     GRANTED = "granted"  # counted out, not yet touched
     BEGUN = "begun"  # its holder has it in hand
     OUT = "out"  # drained for good, until an undo brings it back
+    AWAY = "away"  # a runner that no router uses any more
+    RETURNING = "returning"  # a runner that routers use again one by one
 
 
 @dataclass(slots=True)
@@ -49,6 +59,7 @@
     action: str  # restart, drain, replace; of an undo: start, or replace with what stood before
     stage: Stage
     term: int  # Raft's, at the grant
+    parts: dict[str, str] | None = None  # of a runner: each agent's "", begun, out or in; None of a router
 
 
 @dataclass(slots=True)
@@ -56,11 +67,12 @@
     number: int
     action: str
     targets: tuple[str, ...]
-    budget: int  # the most instances out at once, planned or not
+    budget: int  # the most out at once of its kind, planned or not
     phase: Phase
     reason: str = ""
     done: list[str] = field(default_factory=list)  # in the order in which they ended
     undone: list[str] = field(default_factory=list)
+    kind: str = "routers"  # or runners
 
 
 class Refusal(Exception):
@@ -72,18 +84,20 @@
 
     def __init__(self) -> None:
         self.instances: dict[str, str] = {}  # to the agent that manages each
+        self.runners: dict[str, str] = {}  # to the agent that manages its process, "" where none does
+        self.listed: dict[str, list[str]] = {}  # the runners that the routers of each agent list
         self.rollout: Rollout | None = None
         self.history: list[Rollout] = []
         self.leases: dict[str, Lease] = {}  # by instance
         self.number = 0  # of the last rollout or lease: one count for both, so that no number comes again
-        self.worst_out = 0  # the most that were ever out at once by leases
+        self.worst_out = dict.fromkeys(KINDS, 0)  # the most that were ever out at once by leases
 
     def apply(self, command: Command) -> Reply:
         """`{"ok": True, ...}`, or `{"ok": False, "reason": text}` with nothing changed."""
         handlers: dict[str, Callable[[Command], Reply]] = {
             "register": self._register, "start": self._start, "grant": self._grant, "begin": self._begin,
             "back": self._back, "out": self._out, "halt": self._halt, "resume": self._resume,
-            "undo": self._undo, "release": self._release,
+            "undo": self._undo, "release": self._release, "part": self._part, "renewed": self._renewed,
         }  # fmt: skip
         handler = handlers.get(str(command.get("do")))
         if handler is None:
@@ -94,7 +108,8 @@
             return {"ok": False, "reason": str(refusal)}
         except (KeyError, TypeError, ValueError) as fault:  # guards the log against a damaged command
             return {"ok": False, "reason": f"damaged command: {type(fault).__name__}: {fault}"}
-        self.worst_out = max(self.worst_out, len(self.leases))
+        for kind in KINDS:
+            self.worst_out[kind] = max(self.worst_out[kind], len(self.out(kind)))
         return {"ok": True, **reply}
 
     # Instances.
@@ -109,35 +124,63 @@
             if name not in names and name not in self.leases:
                 del self.instances[name]
         self.instances.update(dict.fromkeys(names, agent))
+        if "runners" in command:
+            self._list_runners(agent, command["runners"])
         return {}
 
+    def _list_runners(self, agent: str, told: dict[str, bool]) -> None:
+        """The runners that the agent's routers list, and whether the agent manages their processes itself."""
+        self.listed[agent] = sorted(_name(name) for name in told)
+        for name, managed in told.items():
+            if managed or name not in self.runners:
+                self.runners[name] = agent if managed else ""
+        known = {name for names in self.listed.values() for name in names}
+        self.runners = {n: a for n, a in sorted(self.runners.items()) if n in known or n in self.leases}
+
+    def agents(self) -> list[str]:
+        return sorted(set(self.instances.values()))
+
+    def out(self, kind: str) -> list[str]:
+        """Those of a kind that are counted out by a lease."""
+        runners = kind == "runners"
+        return [name for name, lease in self.leases.items() if (lease.parts is not None) == runners]
+
+    def known(self, kind: str) -> dict[str, str]:
+        return self.runners if kind == "runners" else self.instances
+
     # Rollouts, by operators.
 
     def _start(self, command: Command) -> Reply:
-        action, budget = str(command["action"]), command["budget"]
-        targets = tuple(dict.fromkeys(command["targets"] or sorted(self.instances)))
+        action, budget, kind = str(command["action"]), command["budget"], str(command.get("kind", "routers"))
+        if kind not in KINDS:
+            raise Refusal(f"kind: must be one of {', '.join(KINDS)}")
+        known = self.known(kind)
+        targets = tuple(dict.fromkeys(command["targets"] or sorted(known)))
         if self.rollout is not None and self.rollout.phase in ACTIVE:
             told = f"rollout {self.rollout.number} is {self.rollout.phase.value}"
             raise Refusal(f"{told}: it has to end, or be undone, first")
         if action not in ACTIONS:
             raise Refusal(f"action: must be one of {', '.join(ACTIONS)}")
-        unknown = [name for name in targets if name not in self.instances]
+        unknown = [name for name in targets if name not in known]
         if unknown:
-            raise Refusal(f"unknown instance: {', '.join(map(str, unknown))}")
+            raise Refusal(f"unknown {'runner' if kind == 'runners' else 'instance'}: {', '.join(unknown)}")
         if not 0 < len(targets) <= TARGETS_MOST:
-            raise Refusal("no instance to roll out to")
-        most = budget_of(budget, len(self.instances))
+            raise Refusal("nothing to roll out to")
+        unmanaged = [name for name in targets if not known[name]]
+        if unmanaged and action != "drain":
+            raise Refusal(f"no agent manages {', '.join(unmanaged)}: only a drain is possible")
+        most, already = budget_of(budget, len(known)), self.out(kind)
         out = [name for name in targets if name in self.leases]
         if out:
             raise Refusal(f"out already: {', '.join(out)}")
-        if action == "drain" and len(targets) + len(self.leases) > most:
+        if action == "drain" and len(targets) + len(already) > most:
             raise Refusal(f"a drain leaves {len(targets)} out, and the budget is {most}")
-        if len(self.leases) >= most:
-            raise Refusal(f"{len(self.leases)} out already, and the budget is {most}")
+        if len(already) >= most:
+            raise Refusal(f"{len(already)} out already, and the budget is {most}")
         if self.rollout is not None:
             self.history = [*self.history, self.rollout][-HISTORY_MOST:]
         self.number += 1
-        self.rollout = Rollout(self.number, action, targets, most, Phase.RUNNING)
+        self.rollout = Rollout(self.number, action, targets, most, Phase.RUNNING, kind=kind)
         return {"rollout": self.number, "budget": most}
 
     def _halt(self, command: Command) -> Reply:
@@ -210,18 +253,22 @@
             raise Refusal("something else was granted since")
         if step is None or step[0] != name:
             raise Refusal(f"it is not the turn of '{name}'")
-        counted = {*self.leases, *map(str, command["down"]), name}
+        counted = {*self.out(rollout.kind), *map(str, command["down"]), name}
         if len(counted) > rollout.budget:
             raise Refusal(f"{len(counted)} would be out, and the budget is {rollout.budget}")
         self.number += 1
-        holder = self.instances[name]
-        self.leases[name] = Lease(self.number, name, holder, step[1], Stage.GRANTED, int(command["term"]))
+        holder, stage, parts = self.known(rollout.kind)[name], Stage.GRANTED, None
+        if rollout.kind == "runners":
+            parts = dict.fromkeys(self.agents(), "")
+            # Nothing is taken out by bringing one back: it has nothing to be halted before.
+            stage = Stage.RETURNING if step[1] == "start" else Stage.GRANTED
+        self.leases[name] = Lease(self.number, name, holder, step[1], stage, int(command["term"]), parts)
         return {"lease": self.number}
 
     def _begin(self, command: Command) -> Reply:
         """By the holder, before it touches the instance: what it read of the lease may be old."""
         lease = self._lease(command)
-        if lease.stage is not Stage.GRANTED:
+        if lease.stage is not Stage.GRANTED or lease.parts is not None:
             raise Refusal(f"lease {lease.number} is {lease.stage.value}")
         lease.stage = Stage.BEGUN
         return {"action": lease.action}
@@ -229,7 +276,7 @@
     def _back(self, command: Command) -> Reply:
         """By the holder: it has seen the instance serve again."""
         lease = self._lease(command)
-        if lease.stage is Stage.GRANTED or lease.action == "drain":
+        if lease.stage is Stage.GRANTED or lease.action == "drain" or lease.parts is not None:
             raise Refusal(f"lease {lease.number} to {lease.action} is {lease.stage.value}")
         del self.leases[lease.instance]
         self._ended(lease)
@@ -238,12 +285,43 @@
     def _out(self, command: Command) -> Reply:
         """By the holder: the instance is drained, with nothing in flight, and stays out."""
         lease = self._lease(command)
-        if lease.stage is not Stage.BEGUN or lease.action != "drain":
+        if lease.stage is not Stage.BEGUN or lease.action != "drain" or lease.parts is not None:
             raise Refusal(f"lease {lease.number} to {lease.action} is {lease.stage.value}")
         lease.stage = Stage.OUT
         self._ended(lease)
         return {}
 
+    def _part(self, command: Command) -> Reply:
+        """By every agent, of a runner: it has `begun` to take it from its routers, they have nothing with it
+        any more (`out`), or use it again (`in`)."""
+        lease, agent, did = self.leases.get(str(command["instance"])), str(command["agent"]), command["did"]
+        if lease is None or lease.number != command["lease"] or lease.parts is None:
+            raise Refusal(f"there is no lease {command['lease']} of a runner '{command['instance']}'")
+        if agent not in lease.parts:
+            raise Refusal(f"{agent} has no part in lease {lease.number}")
+        stages = (Stage.RETURNING,) if did == "in" else (Stage.GRANTED, Stage.BEGUN)
+        if did not in ("begun", "out", "in") or lease.stage not in stages:
+            raise Refusal(f"lease {lease.number} is {lease.stage.value}")
+        lease.parts[agent] = did
+        if did == "in" and set(lease.parts.values()) == {"in"}:
+            del self.leases[lease.instance]
+            self._ended(lease)
+        elif did != "in":
+            lease.stage = Stage.BEGUN
+            if set(lease.parts.values()) == {"out"}:
+                lease.stage = Stage.OUT if lease.action == "drain" else Stage.AWAY
+                if lease.action == "drain":
+                    self._ended(lease)
+        return {}
+
+    def _renewed(self, command: Command) -> Reply:
+        """By the holder: the runner's process has been replaced, and routers may use it again."""
+        lease = self._lease(command)
+        if lease.stage is not Stage.AWAY or lease.parts is None:
+            raise Refusal(f"lease {lease.number} is {lease.stage.value}")
+        lease.stage, lease.parts = Stage.RETURNING, dict.fromkeys(lease.parts, "")
+        return {}
+
     def _ended(self, lease: Lease) -> None:
         rollout = self.rollout
         if rollout is None:
@@ -294,7 +372,8 @@
 
         control = cls()
         control.instances, control.number = dict(told["instances"]), int(told["number"])
-        control.worst_out = int(told["worst_out"])
+        control.runners, control.listed = dict(told["runners"]), dict(told["listed"])
+        control.worst_out = dict(told["worst_out"])
         control.rollout = None if told["rollout"] is None else rollout(told["rollout"])
         control.history = [rollout(one) for one in told["history"]]
         leases = (Lease(**{**one, "stage": Stage(one["stage"])}) for one in told["leases"])
@@ -307,7 +386,9 @@
             return asdict(one) | {"phase": one.phase.value, "targets": list(one.targets)}
 
         return {
-            "instances": dict(self.instances), "number": self.number, "worst_out": self.worst_out,
+            "instances": dict(self.instances), "runners": dict(self.runners),
+            "listed": {agent: list(names) for agent, names in self.listed.items()},
+            "number": self.number, "worst_out": dict(self.worst_out),
             "rollout": None if self.rollout is None else rollout(self.rollout),
             "history": [rollout(one) for one in self.history],
             "leases": [asdict(lease) | {"stage": lease.stage.value} for lease in self.leases.values()],
--- a/maplestile/operation/api.py
+++ b/maplestile/operation/api.py
@@ -11,7 +11,7 @@
 from maplestile.wire.http import Bounds, HttpRequest, Refused, Response, allow, nothing, problem
 
 RUNNER = re.compile(r"/v1/runners/([^/]+)/(suspend|resume)")
-READY, METRICS, MEMBERS = "/v1/readyz", "/v1/metrics", "/v1/members"
+READY, METRICS, MEMBERS, RUNNERS = "/v1/readyz", "/v1/metrics", "/v1/members", "/v1/runners"
 PLAIN = (("Content-Type", "text/plain; charset=utf-8"),)
 
 
@@ -28,6 +28,10 @@
         """This instance's view of membership; None where membership is off."""
         ...
 
+    def runners(self) -> list[dict[str, Any]]:
+        """The runners listed: id, whether suspended by hand or avoided, and the attempts in flight there."""
+        ...
+
     def suspend(self, runner: str) -> bool:
         """Take a runner out; false for one that was never listed."""
         ...
@@ -65,6 +69,10 @@
             if (view := self.router.members()) is None:
                 return problem(404, "membership is off: no [peers] in the operator's file")
             return Response(200, json.dumps(view).encode(), (("Content-Type", "application/json"),))
+        if path == RUNNERS:
+            allow(request, "GET")
+            told = json.dumps({"runners": self.router.runners()})
+            return Response(200, told.encode(), (("Content-Type", "application/json"),))
         if (match := RUNNER.fullmatch(path)) is None:
             raise Refused(problem(404, "no such resource"))
         allow(request, "PUT")
--- a/maplestile/operation/desk.py
+++ b/maplestile/operation/desk.py
@@ -1,5 +1,6 @@
 """The router as its operators see it: what its parts know, asked at the moment of the call."""
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -38,6 +39,15 @@
     def members(self) -> dict[str, Any] | None:
         return self.view()
 
+    def runners(self) -> list[dict[str, Any]]:
+        flights = Counter(flight.worker for flight in self.core.flights.values())
+        avoided = self.core.avoided()
+        return [
+            {"id": runner, "suspended": runner in self.bans.banned, "avoided": runner in avoided,
+             "inflight": flights[runner]}
+            for runner in sorted(self.fleet.entries)
+        ]  # fmt: skip
+
     def suspend(self, runner: str) -> bool:
         return self.bans.suspend(runner)
 
--- a/maplestile/steward.py
+++ b/maplestile/steward.py
@@ -33,8 +33,8 @@
     async def submit(self, command: Command) -> Reply: ...
 
 
-class Hands(Protocol):
-    """What the steward can do with one instance of its agent."""
+class Process(Protocol):
+    """What the steward can do with one process of its agent."""
 
     async def drain(self) -> str:
         """Ask it to stop, and wait for its end however long that takes; "" for a clean one, else how."""
@@ -50,18 +50,31 @@
         """From its next start on as before the last `renew`."""
         ...
 
+
+class Hands(Process, Protocol):
+    """And with a router."""
+
     async def ready(self) -> bool: ...
     async def word(self) -> Word: ...
-    async def members(self) -> dict[str, str]:
-        """The statuses in its view of membership; empty where it has none."""
+    async def gone(self) -> set[str]:
+        """Members that are dead or left in its view, and runners found silent; empty where it has no view."""
+        ...
+
+    async def runners(self) -> dict[str, tuple[bool, int]] | None:
+        """The runners it lists: whether suspended, and the attempts in flight; None if it does not answer."""
         ...
 
+    async def suspend(self, runner: str, out: bool) -> bool: ...
+
 
 class Steward:
     def __init__(
-        self, plan: ControlPlan, plane: Plane, hands: Mapping[str, Hands], counters: Counter[str]
-    ) -> None:
+        self, plan: ControlPlan, plane: Plane, hands: Mapping[str, Hands], others: Mapping[str, Process],
+        counters: Counter[str],
+    ) -> None:  # fmt: skip
         self.plan, self.plane, self.hands, self.counters = plan, plane, hands, counters
+        self.others = others  # processes that are no routers; runners, if a router lists them by that name
+        self.listed: dict[str, bool] = {}  # the runners that the routers here list, and whether managed here
         self.events = logs.events("control")
         self.steps: dict[int, asyncio.Task[None]] = {}  # by the number of the lease
         self.asking = set[int]()  # leases that this process asked to begin, without an answer yet
@@ -88,10 +101,12 @@
                     task.cancel()
 
     async def _look(self) -> None:
-        mine = sorted(self.hands)
-        known = sorted(n for n, agent in self.plane.control.instances.items() if agent == self.plan.name)
-        if not self.registered or known != mine:
-            self.registered = await self._submit({"do": "register", "instances": mine}) is not None
+        mine, control = sorted(self.hands), self.plane.control
+        known = sorted(n for n, agent in control.instances.items() if agent == self.plan.name)
+        listed = control.listed.get(self.plan.name, [])
+        if not self.registered or known != mine or self.listed and listed != sorted(self.listed):
+            told = {"do": "register", "instances": mine, "runners": self.listed}
+            self.registered = await self._submit(told) is not None
         self._take_steps()
         active = (rollout := self.plane.control.rollout) is not None and rollout.phase in ACTIVE
         pause_s = WORD_S if active else REST_S
@@ -121,6 +136,11 @@
             if not task.cancelled() and task.exception() is not None:
                 log.error("control: a step has failed", exc_info=task.exception())
         for lease in self.plane.control.leases.values():
+            if lease.parts is not None:
+                if lease.number not in self.steps and self.plan.name in lease.parts:
+                    part = self._runner(lease.number, lease.instance)
+                    self.steps[lease.number] = asyncio.get_running_loop().create_task(part)
+                continue
             if lease.holder != self.plan.name or lease.instance not in self.hands:
                 continue
             again = lease.stage is Stage.OUT and not self.hands[lease.instance].running()
@@ -156,7 +176,7 @@
         self.events.info("back", action=action, **told)
         await self._until_agreed({"do": "back", **told})
 
-    def _change(self, action: str, hands: Hands, told: Mapping[str, Any]) -> None:
+    def _change(self, action: str, hands: Process, told: Mapping[str, Any]) -> None:
         try:
             if action == "replace":
                 hands.renew()
@@ -166,7 +186,7 @@
             self.events.error("not replaced", fault=str(fault), **told)
             raise
 
-    async def _drain(self, hands: Hands, told: Mapping[str, Any]) -> None:
+    async def _drain(self, hands: Process, told: Mapping[str, Any]) -> None:
         """Its calls in flight are ended by itself; it is never killed, however long that takes."""
         fault = await hands.drain()
         if fault:
@@ -174,6 +194,68 @@
         else:
             self.events.info("drained", **told)
 
+    # Runners: this agent's part in the lease of each.
+
+    async def _runner(self, number: int, name: str) -> None:
+        """Follow the lease to its end: out of the routers here, its process renewed if it is managed here,
+        and in again. While it is out that is seen to again and again, since a router that was started anew
+        does not know of it."""
+        me, told = self.plan.name, {"instance": name, "lease": number}
+        while (lease := self.plane.control.leases.get(name)) is not None and lease.number == number:
+            assert lease.parts is not None
+            if lease.stage is Stage.RETURNING:
+                if lease.parts.get(me) != "in" and await self._use(name, True):
+                    self.events.info("in", **told)
+                    await self._until_agreed({"do": "part", "did": "in", **told})
+            else:
+                if not lease.parts.get(me) and not await self._begin_part(told):
+                    return
+                idle = await self._use(name, False)
+                if idle and lease.parts.get(me) == "begun":
+                    self.events.info("out", **told)
+                    await self._until_agreed({"do": "part", "did": "out", **told})
+                if lease.stage is Stage.AWAY and lease.holder == me:
+                    await self._renew(lease, told)
+            await asyncio.sleep(READY_S)
+        while name not in self.plane.control.leases and not await self._use(name, True):
+            await asyncio.sleep(READY_S)  # released by an operator, who vouches for it
+
+    async def _begin_part(self, told: Mapping[str, Any]) -> bool:
+        agreed = await self._submit({"do": "part", "did": "begun", **told}) is not None
+        if agreed:
+            self.events.info("begin", action="runner", **told)
+        return agreed
+
+    async def _use(self, runner: str, use: bool) -> bool:
+        """Have the routers here use a runner or not; whether all do as told, and have nothing in flight there
+        if not. One whose process has ended has none; one that does not answer may have."""
+        done = True
+        for hands in self.hands.values():
+            if not hands.running():
+                continue
+            listed = await hands.runners()
+            if listed is None:
+                done = False
+            elif runner in listed:
+                suspended, inflight = listed[runner]
+                if suspended == use:
+                    done = await hands.suspend(runner, not use) and use and done
+                elif not use and inflight:
+                    done = False
+        return done
+
+    async def _renew(self, lease: Lease, told: Mapping[str, Any]) -> None:
+        """The runner's process, which no router uses now."""
+        process = self.others[lease.instance]
+        await self._drain(process, told)
+        with contextlib.suppress(Exception):
+            self._change(lease.action, process, told)
+        process.start()
+        while not process.running():
+            await asyncio.sleep(READY_S)
+        self.events.info("renewed", **told)
+        await self._until_agreed({"do": "renewed", **told})
+
     async def _until_agreed(self, command: Command) -> None:
         """A step's end has to reach the log, or the instance stays counted out."""
         while True:
@@ -191,13 +273,15 @@
 
     async def _word(self) -> None:
         names = list(self.hands)
-        words, views = await asyncio.gather(
+        words, gone, listed = await asyncio.gather(
             asyncio.gather(*(self.hands[name].word() for name in names)),
-            asyncio.gather(*(self.hands[name].members() for name in names)),
-        )
-        self.members_out = frozenset(
-            name for view in views for name, status in view.items() if status in ("dead", "left")
+            asyncio.gather(*(self.hands[name].gone() for name in names)),
+            asyncio.gather(*(self.hands[name].runners() for name in names)),
         )
+        self.members_out = frozenset(name for one in gone for name in one)
+        runners = {runner for one in listed if one is not None for runner in one}
+        if runners:  # a moment without an answer makes no runner unknown
+            self.listed = {runner: runner in self.others for runner in sorted(runners)}
         told = {n: [w.ready, w.served, w.failed] for n, w in zip(names, words, strict=True)}
         with contextlib.suppress(LogError):
             await self.plane.submit({"do": "word", "agent": self.plan.name, "words": told})
@@ -245,7 +329,7 @@
         """`status`, or a command of an operator's; `{"error": reason}` where it is not agreed on."""
         if what == "status":
             return {"rollout": {**self.plane.control.told(), "raft": self.plane.status(),
-                                "ready": self.plane.ready()}}  # fmt: skip
+                                "ready": self.plane.ready(), "counters": dict(self.counters)}}  # fmt: skip
         if what == "start" and command.get("budget") is None:
             command = {**command, "budget": self.plan.budget}
         try:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import unittest
 from collections import Counter
@@ -193,12 +194,17 @@
     Members of the relay: routers 0 to 5, then agents 6 to 8. A router's UDP socket has its own port, so that
     it is the same after a restart."""
 
-    def __init__(self, test: unittest.TestCase, step_s: float = 30.0) -> None:
+    def __init__(self, test: unittest.TestCase, step_s: float = 30.0, toy: bool = False) -> None:
+        """With `toy` the runner w2 is a process of the first agent, else a stand-in of this one."""
         self.test, self.folder = test, Path(tempfile.mkdtemp())
         self.workers = [Worker(), Worker()]
         self.relay = Relay(test, AGENTS * EACH + AGENTS)
         self.names = [f"r{n}" for n in range(AGENTS * EACH)]
-        ports = free_ports(2 * AGENTS + 3 * len(self.names))
+        ports = free_ports(2 * AGENTS + 3 * len(self.names) + 1)
+        self.toy, self.runner_ports = toy, [worker.port for worker in self.workers]
+        if toy:
+            self.runner_ports[1] = ports[-1]
+        ports.pop()
         self.listens, self.rafts, rest = ports[:AGENTS], ports[AGENTS : 2 * AGENTS], ports[2 * AGENTS :]
         self.udp, self.invoke, self.operator = (rest[n :: 3] for n in range(3))
         self.step_s = step_s
@@ -212,7 +218,7 @@
         for old, new in (
             ("127.0.0.1:8080", f"127.0.0.1:{self.invoke[n]}"), ("127.0.0.1:8081", "127.0.0.1:0"),
             ("127.0.0.1:8082", f"127.0.0.1:{self.operator[n]}"),
-            *((f"127.0.0.1:900{k}", f"127.0.0.1:{self.workers[k - 1].port}") for k in (1, 2)),
+            *((f"127.0.0.1:900{k}", f"127.0.0.1:{self.runner_ports[k - 1]}") for k in (1, 2)),
             ('name = "palash-desk"', f'name = "r{n}"'),
         ):  # fmt: skip
             assert old in text, old
@@ -233,6 +239,10 @@
                 text += f'reach = "{reach}"\n'
         for n in range(number * EACH, number * EACH + EACH):
             text += f'[[instance]]\nname = "r{n}"\nfile = "r{n}.toml"\n'
+        if self.toy and not number:
+            toy = [sys.executable, str(ROOT / "examples" / "toy_worker.py")]
+            command = json.dumps([*toy, "--port", str(self.runner_ports[1])])
+            text += f'[[instance]]\nname = "w2"\ncommand = {command}\n'
         file = self.folder / f"agent{number}.toml"
         file.write_text(text)
         program = Program("agent", str(file))
@@ -302,13 +312,17 @@
     def until_whole(self) -> None:
         """A leader, all instances known and ready, and one view of membership."""
         numbers = range(AGENTS)
-        eventually(lambda: all(self.run(n, "ready")[0] == 0 for n in numbers), "all routers ready")
+        eventually(lambda: all(self.run(n, "ready", *self.of(n))[0] == 0 for n in numbers), "routers ready")
         eventually(lambda: all(len(self.status(n).get("instances", {})) == len(self.names) for n in numbers),
                    "all instances registered")  # fmt: skip
         eventually(lambda: self.leader() is not None, "a leader")
         eventually(lambda: all(self.run(n, "members")[0] == 0 for n in numbers), "views that agree")
         eventually(lambda: all(self._alive(n) for n in numbers), "all seen alive")
 
+    def of(self, number: int) -> list[str]:
+        """The routers of an agent."""
+        return self.names[number * EACH : number * EACH + EACH]
+
     def _alive(self, number: int) -> bool:
         rows = [line.split("\t") for line in self.run(number, "members")[1].splitlines()[1:]]
         return sum(cell.startswith("alive") for row in rows for cell in row) == EACH * len(self.names)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -189,6 +189,91 @@
         self.assertEqual(Control.of(fleet.control.told()).told(), fleet.control.told())
 
 
+class RunnerTest(unittest.TestCase):
+    """Runners: every agent has a part, since they are out at all routers."""
+
+    def setUp(self) -> None:
+        self.control = Control()
+        for agent, names in (("a0", ["r0"]), ("a1", ["r1"])):
+            runners = {"w0": agent == "a0", "w1": False, "w2": False}
+            self.ok("register", agent=agent, instances=names, runners=runners)
+
+    def ok(self, do: str, **more: Any) -> None:
+        reply = self.control.apply({"do": do, **more})
+        self.assertTrue(reply["ok"], reply)
+
+    def no(self, reason: str, do: str, **more: Any) -> None:
+        reply = self.control.apply({"do": do, **more})
+        self.assertIn(reason, reply.get("reason", "it was agreed on"))
+
+    def grant(self, name: str, **more: Any) -> dict[str, Any]:
+        told = {"instance": name, "down": [], "after": self.control.number, "term": 1, **more}
+        self.ok("grant", **told)
+        return {"instance": name, "lease": self.control.number}
+
+    def all_say(self, did: str, told: dict[str, Any]) -> None:
+        for agent in ("a0", "a1"):
+            self.ok("part", agent=agent, did=did, **told)
+
+    def stage(self, name: str) -> Stage:
+        return self.control.leases[name].stage
+
+    def test_a_runner_is_out_once_all_say_so_and_back_once_all_use_it(self) -> None:
+        self.no("no agent manages w1", "start", action="restart", kind="runners", targets=["w1"], budget=1)
+        self.ok("start", action="restart", kind="runners", targets=["w0"], budget=1)
+        told = self.grant("w0")
+        self.all_say("begun", told)
+        self.ok("part", agent="a0", did="out", **told)
+        self.no("is begun", "renewed", agent="a0", **told)  # a1 may still have calls there
+        self.ok("part", agent="a1", did="out", **told)
+        self.assertIs(self.stage("w0"), Stage.AWAY)
+        self.no("a1 holds no lease", "renewed", agent="a1", **told)
+        self.no("is away", "part", agent="a0", did="in", **told)
+        self.ok("renewed", agent="a0", **told)
+        self.ok("part", agent="a0", did="in", **told)
+        self.assertIn("w0", self.control.leases)
+        self.ok("part", agent="a1", did="in", **told)
+        assert self.control.rollout is not None
+        self.assertEqual((self.control.leases, self.control.rollout.phase), ({}, Phase.DONE))
+
+    def test_a_drained_runner_stays_out_until_undone_and_routers_have_a_budget_of_their_own(self) -> None:
+        self.ok("start", action="drain", kind="runners", targets=["w1", "w2"], budget=2)
+        for name in ("w1", "w2"):
+            told = self.grant(name)
+            self.all_say("begun", told)
+            self.all_say("out", told)
+            self.assertIs(self.stage(name), Stage.OUT)
+        self.assertEqual((self.control.out("runners"), self.control.out("routers")), (["w1", "w2"], []))
+        self.no("2 out already", "start", action="restart", kind="runners", targets=["w0"], budget=2)
+        self.assertEqual(Control.of(self.control.told()).told(), self.control.told())
+        self.ok("undo")
+        for name in ("w2", "w1"):
+            told = self.grant(name)
+            self.assertIs(self.stage(name), Stage.RETURNING)
+            self.all_say("in", told)
+        assert self.control.rollout is not None
+        self.assertIs(self.control.rollout.phase, Phase.UNDONE)
+        self.ok("start", action="restart", targets=[], budget=1)
+
+    def test_a_halt_takes_back_what_no_agent_has_begun(self) -> None:
+        self.ok("start", action="drain", kind="runners", targets=["w1", "w2"], budget=2)
+        begun = self.grant("w1")
+        self.ok("part", agent="a1", did="begun", **begun)
+        unbegun = self.grant("w2")
+        self.ok("halt")
+        self.no("there is no lease", "part", agent="a0", did="begun", **unbegun)
+        self.ok("part", agent="a0", did="begun", **begun)  # under way: it finishes
+        self.all_say("out", begun)
+        self.assertEqual(list(self.control.leases), ["w1"])
+
+    def test_a_silent_runner_counts_against_the_budget(self) -> None:
+        self.ok("start", action="drain", kind="runners", targets=["w1"], budget=1)
+        watcher = Watcher(Rules(settle_us=0), 0)
+        watcher.hear({"r0": Word(True), "r1": Word(True)}, 1)
+        self.assertIsNone(watcher.decide(self.control, frozenset({"w2"}), 1, 2))
+        self.assertIsNotNone(watcher.decide(self.control, frozenset(), 1, 3))
+
+
 class Machine(RuleBasedStateMachine):
     """Any order of operators, agents, losses and elections: the properties hold after each event."""
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -40,6 +40,9 @@
     def members(self) -> dict[str, Any] | None:
         return None
 
+    def runners(self) -> list[dict[str, Any]]:
+        return [{"id": "s-0", "suspended": False, "avoided": False, "inflight": 2}]
+
     def suspend(self, runner: str) -> bool:
         self.calls.append(f"out {runner}")
         return runner == "s 1"
--- a/tests/test_process_rollout.py
+++ b/tests/test_process_rollout.py
@@ -44,13 +44,12 @@
 
 
 class FleetTest(unittest.TestCase):
+    step_s, toy = 30.0, False
+
     def setUp(self) -> None:
-        self.fleet = Fleet(self, self.step_s())
+        self.fleet = Fleet(self, self.step_s, self.toy)
         self.fleet.until_whole()
 
-    def step_s(self) -> float:
-        return 30.0
-
     def start(self, number: int, *words: str) -> None:
         code, _, err = self.fleet.run(number, "rollout", "start", *words)
         self.assertEqual((code, err), (0, ""))
@@ -70,7 +69,7 @@
         self.assertEqual([call for call, count in ran.items() if count > 1], [])
 
     def theirs(self, agents: list[int]) -> set[str]:
-        return {f"r{n}" for number in agents for n in range(number * EACH, number * EACH + EACH)}
+        return {name for number in agents for name in self.fleet.of(number)}
 
     def status(self) -> dict[str, Any]:
         rollout: dict[str, Any] = self.fleet.status(0)["rollout"]
@@ -210,8 +209,7 @@
 class StuckTest(FleetTest):
     """Steps that take longer than they may."""
 
-    def step_s(self) -> float:
-        return 4.0
+    step_s = 4.0
 
     def test_a_router_that_stands_still_in_its_drain_is_not_called_drained(self) -> None:
         pid = self.fleet.pid("r0")
@@ -262,23 +260,82 @@
         return hung
 
 
+class RunnerTest(FleetTest):
+    """Runners taken out at all routers, one of them a process of the first agent."""
+
+    toy = True
+
+    def test_a_runner_is_drained_at_all_routers_and_undone_under_load(self) -> None:
+        eventually(lambda: self.fleet.status(0)["runners"] == {"w1": "", "w2": "a0"}, "the runners")
+        code, _, err = self.fleet.run(1, "rollout", "start", "--runners", "--budget", "1", "w1")
+        self.assertEqual((code, "no agent manages w1" in err), (1, True))
+        calls = Calls(self.fleet, 12)
+        eventually(lambda: self.calls() > 10, "calls there")
+        self.start(1, "--runners", "--action", "drain", "--budget", "1", "w1")
+        self.until_event("begin", "w1")
+        self.fleet.until_phase(2, "done")
+        out = [told for told in self.fleet.events() if told["event"] == "out"]
+        self.assertEqual(len(out), AGENTS)
+        # All routers were told before the last agent said so, and the rule gives them two seconds.
+        time.sleep(max(0.0, 2.0 - (time.monotonic() - out[-1]["t_us"] / 1e6)))
+        before = self.calls()
+        time.sleep(1.0)
+        self.assertEqual(self.calls(), before)
+        # A router that is started anew does not know of it, and is told at once.
+        self.assertEqual(self.fleet.run(0, "restart", "r0")[0], 0)
+        eventually(lambda: self.fleet.run(0, "ready", "r0")[0] == 0, "r0 back")
+        time.sleep(2.0)
+        before = self.calls()
+        time.sleep(1.0)
+        self.assertEqual(self.calls(), before)
+        self.assertEqual(self.fleet.run(0, "rollout", "undo")[0], 0)
+        self.fleet.until_phase(1, "undone")
+        result = calls.result()
+        self.assertLessEqual(set(result["ends"]), {"served", "refused"}, result)
+        eventually(lambda: self.called_again(before), "calls there again")
+
+    def test_a_runner_is_restarted_while_no_router_uses_it(self) -> None:
+        eventually(lambda: self.fleet.status(0)["runners"] == {"w1": "", "w2": "a0"}, "the runners")
+        pid = self.pid()
+        calls = Calls(self.fleet, 8)
+        self.start(2, "--runners", "--budget", "1", "w2")
+        self.fleet.until_phase(1, "done")
+        self.assertNotEqual(self.pid(), pid)
+        order = [told["event"] for told in self.fleet.events() if told.get("instance") == "w2"]
+        self.assertEqual([e for e in order if e in ("out", "renewed", "in")],
+                         AGENTS * ["out"] + ["renewed"] + AGENTS * ["in"])  # fmt: skip
+        result = calls.result()
+        self.assertLessEqual(set(result["ends"]), {"served", "refused"}, result)
+
+    def pid(self) -> int:
+        return int(self.fleet.command(0, "status", "w2")[0]["instances"]["w2"]["pid"])
+
+    def calls(self) -> int:
+        return sum(line["kind"] == "CALL" for line in list(self.fleet.workers[0].lines))
+
+    def called_again(self, before: int) -> bool:
+        client = Hung(self.fleet.invoke[3], b"again:")
+        client.join(PATIENCE_S)
+        return self.calls() > before
+
+
 def worker_bytes(call: dict[str, Any]) -> bytes:
     return base64.b64decode(call["bytes"])
 
 
 class Hung(threading.Thread):
-    """A call that its worker never answers, so that its router owes an answer until the call's deadline."""
+    """A call, and for most that its worker never answers: its router owes an answer until its deadline."""
 
-    def __init__(self, port: int) -> None:
+    def __init__(self, port: int, body: bytes = b"hang:") -> None:
         super().__init__(daemon=True)
-        self.port, self.answered = port, threading.Event()
+        self.port, self.body, self.answered = port, body, threading.Event()
         self.start()
 
     def run(self) -> None:
         link = http.client.HTTPConnection("127.0.0.1", self.port, timeout=PATIENCE_S)
         headers = {"Maplestile-Tenant": "shapla-tutors", "Maplestile-Deadline-Ms": "5000"}
         with contextlib.suppress(OSError, http.client.HTTPException):  # where a test kills its router
-            link.request("POST", "/v1/functions/score-bangla/invocations", b"hang:", headers)
+            link.request("POST", "/v1/functions/score-bangla/invocations", self.body, headers)
             link.getresponse().read()
             self.answered.set()
 
