--- a/maplestile/cli.py
+++ b/maplestile/cli.py
@@ -106,7 +106,7 @@
     try:
         match asked.command:
             case "serve":
-                from maplestile.__main__ import serve
+                from maplestile.node import serve
 
                 load(asked.file)  # its mistakes are told without the log's dress
                 return serve(asked.file)
--- /dev/null
+++ b/maplestile/node.py
@@ -0,0 +1,394 @@
+"""One function router: start, reload at SIGHUP, drain at SIGTERM, counters at SIGUSR1 and at the end."""
+
+import asyncio
+import json
+import logging
+import os
+import signal
+import sys
+import time
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from maplestile import logs
+from maplestile.config import Config, address, config_from
+from maplestile.core import Core
+from maplestile.garbage import Collector
+from maplestile.interface import ListKind
+from maplestile.net.listen import Listener
+from maplestile.net.names import Names
+from maplestile.net.platform import Platform
+from maplestile.net.runners import Runners
+from maplestile.net.stamps import StampedSelector
+from maplestile.operation.handover import Handover, Stage
+from maplestile.table import ConfigError
+
+if TYPE_CHECKING:  # a process loads only the fronts that are set up
+    from maplestile.invoke.api import Api
+    from maplestile.net.peers import Peers
+    from maplestile.operation.bans import Bans
+
+log = logging.getLogger("maplestile")
+SWEEP_S, DRAIN_LOOK_S = 1.0, 0.02
+
+
+def clock() -> int:
+    """The Unix clock in microseconds."""
+    return time.time_ns() // 1000
+
+
+class Node:
+    """The parts of one function router, put together."""
+
+    def __init__(self, configure: Callable[[], Config], selector: StampedSelector) -> None:
+        self.configure, self.config = configure, configure()
+        self.name, self.limits, self.fleet = self.config.name, self.config.limits, self.config.fleet
+        self.selector = selector
+        self.counters: Counter[str] = Counter()
+        self.collector = Collector(self.counters)
+        self.runners = Runners(self.limits, clock, self.counters)
+        seed, settings = self.config.seed, self.config.settings
+        self.core = Core(settings, self.limits, seed, self.runners, clock, self._alarm, self.counters)
+        self.runners.core = self.core
+        self.handle: asyncio.TimerHandle | None = None
+        self.stopping = asyncio.Event()
+        self.listening = False
+        self.began_us, self.live = clock(), 1
+        self.api: Api | None = None
+        self.names: Names | None = None
+        self.asking: asyncio.Task[None] | None = None
+        self.platform: Platform | None = None
+        self.bans: Bans | None = None
+        self.handover: Handover | None = None
+        self.current = False
+        self.peers: Peers | None = None
+
+    def _ready(self) -> bool:
+        """To clients: the router serves, be it by the process that takes over."""
+        going = self.stopping.is_set() and not self._handing_over()
+        return self.listening and bool(self.fleet.entries) and not going
+
+    def _lacking(self) -> str:
+        """To operators: why this process cannot serve; empty if it can."""
+        if self.stopping.is_set():
+            return "it was asked to stop"
+        if not self._list_is_current():
+            return "the name server has not answered yet"
+        if not self.listening:
+            return "it does not listen yet"
+        return "" if self.fleet.entries else "no runner is listed"
+
+    def _list_is_current(self) -> bool:
+        """What the configuration knows of runners may be old, so the name server is heard first; a silent one
+        keeps nobody from serving for good."""
+        waited = clock() - self.began_us >= self.limits.names_wait_us
+        self.current = self.current or self.names is None or self.names.heard or waited
+        return self.current
+
+    def _handing_over(self) -> bool:
+        return self.handover is not None and self.handover.successor_ready
+
+    def _alarm(self, due_us: int) -> None:
+        if self.handle is not None:
+            self.handle.cancel()
+        delay = max(0.0, (due_us - clock()) / 1e6)
+        self.handle = asyncio.get_running_loop().call_later(delay, self.core.tick)
+
+    def _changed(self, kind: ListKind = ListKind.FULL) -> None:
+        if self.bans is not None:
+            self.bans.listed(self.fleet.entries)
+            self.fleet.suspended = self.bans.banned
+        # The pool first: a decision on the new list must find its addresses and drains.
+        self.runners.update(self.fleet)
+        if self.peers is not None:
+            self.peers.listed(self.fleet.entries)
+        self.core.list_changed(self.fleet.event(kind))
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self.stopping.set)
+        loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self.collector.start()
+        operation = await self._operation()
+        self._changed(ListKind.CACHED)
+        parts = [self._start(self._sweep())]
+        if (plan := self.config.peers) is not None:
+            from maplestile.net.peers import Peers
+
+            self.peers = Peers(self.name, plan, self.config.seed, self.counters, self.core.probe)
+            self.core.may_probe, self.core.probed = self.peers.may_probe, self.peers.probed
+            self.peers.listed(self.fleet.entries)
+            parts.append(self._start(self.peers.run()))
+        self._ask_names()
+        if self.handover is not None:
+            parts.append(self._start(self._follow(self.handover)))
+            await self._succeed(self.handover)
+        fronts = await self._listen()
+        self.listening = True
+        await self.stopping.wait()
+        await self._drain(fronts)
+        for front in (*fronts, operation):
+            if front is not None:
+                front.close()
+        for part in (*parts, self.asking):
+            if part is not None:
+                part.cancel()
+        self.collector.stop()
+        self.print_counters()
+
+    def _start(self, part: Coroutine[object, object, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(part)
+        task.add_done_callback(self._task_ended)
+        return task
+
+    def _ask_names(self) -> None:
+        """Ask the name server of the configuration from now on; queries to another one end."""
+        if self.asking is not None:
+            self.asking.cancel()
+            self.asking = self.names = None
+        if (server := self.config.dns) is not None:
+            self.names = Names(server, self.fleet, self.limits, self.counters, self._changed)
+            self.asking = self._start(self.names.run())
+
+    def reload(self) -> None:
+        """SIGHUP: read the configuration again, whole, before anything of it is taken."""
+        restarts, taken, fault = list[str](), list[str](), ""
+        try:
+            new = self.configure()
+        except (ConfigError, OSError) as cause:
+            self.counters["reloads.failed"] += 1
+            fault = f"{type(cause).__name__}: {cause}"
+            log.error("%s cannot reload; the old configuration stays: %s", self.name, fault)
+        else:
+            self.counters["reloads.taken"] += 1
+            restarts = self.config.restarts(new)
+            taken = self._take(new)
+            told = ", ".join(taken) or "nothing", ", ".join(restarts) or "nothing"
+            log.info("%s reloaded; taken: %s; only a restart takes: %s", self.name, *told)
+        told_json = {"ok": not fault, "fault": fault, "taken": taken, "restart": restarts}
+        print(json.dumps({"reload": told_json}), file=sys.stderr, flush=True)
+
+    def _take(self, new: Config) -> list[str]:
+        """Swap what can change live; the rest of the old configuration stays in force."""
+        taken, old = list[str](), self.config
+        self.config = replace(old, dns=new.dns)
+        if new.dns != old.dns:
+            taken.append("dns")
+            self._ask_names()
+        # The serials go on: a file older than what the name server has told brings back no dead worker.
+        # Where no name server is asked, the file is all that tells of the workers.
+        newer = new.fleet.version > self.fleet.version
+        if newer or (new.dns is None and new.fleet.entries != self.fleet.entries):
+            self.fleet.replace(new.fleet)
+            self._changed()
+            taken.append("known")
+        if self.api is not None and new.operator is not None and self.api.reload(new.operator):
+            taken.append("invoke")
+        return taken
+
+    async def _listen(self) -> list[Listener]:
+        fronts = list[Listener]()
+        if self.config.listen is not None:
+            self.platform = Platform(self.core, self.limits, self.counters, self._received, self._ready)
+            # Also where the folder is of no use: two processes that cannot hand over may still serve in turn.
+            shared = self.config.operation is not None and self.config.operator is None
+            fronts.append(await self.platform.start(*self.config.listen, shared))
+            self._listens("platform", fronts[-1])
+        if (operator := self.config.operator) is not None:
+            from maplestile.invoke.api import Api
+            from maplestile.net.http import Http
+
+            self.api = Api(self.core, operator, self.counters)
+            http = Http("invoke", self.api, self.counters, self._received)
+            fronts.append(await http.start(*address(operator.listen)))
+            self._listens("invoke", fronts[-1])
+        return fronts
+
+    async def _operation(self) -> Listener | None:
+        """The operators' front, which answers before the others stand; and what is shared with the process
+        before this one."""
+        if self.config.operation is None:
+            return None
+        from maplestile.net.http import Http
+        from maplestile.operation.api import OperatorApi
+        from maplestile.operation.bans import Bans
+        from maplestile.operation.desk import Desk
+        from maplestile.operation.folder import Locks, Markers
+
+        folder = self.config.folder
+        markers = Markers(folder / "suspended") if folder is not None else None
+        self.bans = Bans(markers, self.limits, self.counters, self._changed)
+        self.bans.look()
+        # A router with an invoke front has records that another process would not know.
+        if folder is not None and self.config.operator is None:
+            try:
+                self.handover = Handover(Locks(folder))
+            except OSError as fault:
+                log.warning("%s cannot be replaced while it serves: %s", self.name, fault)
+        desk = Desk(
+            self.core, self.fleet, self.bans, lambda: self.runners.calls_written, self._lacking,
+            lambda: None if self.peers is None else self.peers.members(),
+            lambda: {} if self.peers is None else self.peers.figures(),
+        )  # fmt: skip
+        http = Http("operator", OperatorApi(desk, self.limits), self.counters, self._received)
+        front = await http.start(*self.config.operation)
+        self._listens("operator", front)
+        return front
+
+    def _listens(self, front: str, listener: Listener) -> None:
+        (host, port), known = listener.address, len(self.fleet.entries)
+        log.info("%s: %s front listens on %s:%d, %d runners known", self.name, front, host, port, known)
+
+    # Replacing the process.
+
+    async def _succeed(self, handover: Handover) -> None:
+        """Where another process serves, clients are taken only once this one serves as well."""
+        if handover.stage is Stage.ALONE:
+            return
+        log.info("%s: another process serves; it is %s", self.name, handover.stage.value)
+        while not (self._list_is_current() and handover.stage is not Stage.WAITING):
+            if self.stopping.is_set():
+                return
+            await asyncio.sleep(DRAIN_LOOK_S)
+
+    async def _follow(self, handover: Handover) -> None:
+        """Look now and then at what the other process of an upgrade does and was told."""
+        while True:
+            self._look(handover)
+            await asyncio.sleep(self.limits.folder_look_us / 1e6)
+
+    def _look(self, handover: Handover) -> None:
+        assert self.bans is not None
+        self.bans.look()
+        before = handover.stage
+        try:
+            if not self._lacking():
+                handover.ready()
+            handover.look()
+        except OSError as fault:
+            log.warning("%s: the locks: %s", self.name, fault)
+        if handover.stage is not before:
+            log.info("%s: %s", self.name, handover.stage.value)
+        if handover.live != self.live:
+            self.live = handover.live
+            log.info("%s: budgets for %d processes side by side", self.name, self.live)
+            self.limits = self.core.limits = self.runners.limits = self.config.limits.shared(self.live)
+            if self.platform is not None:
+                self.platform.limits = self.limits
+
+    def _received(self) -> int:
+        return self.selector.read_us
+
+    def _task_ended(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            log.error("a part has failed", exc_info=task.exception())
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self.runners.sweep()
+            self.collector.look(time.monotonic())
+
+    async def _drain(self, fronts: list[Listener]) -> None:
+        """Go on serving what comes; clients hear of the end late. Leave when nothing is owed."""
+        log.info("%s was asked to stop; %d requests open", self.name, len(self.core.open))
+        told_us = clock()
+        until = told_us + self.limits.drain_least_us
+        if self.peers is not None:  # the others hear of the leave, and suspect nobody
+            self.peers.leave()
+        if self.handover is not None:
+            self.handover.leaving()
+        while clock() < until or self._owes():
+            if self.handover is not None:
+                self._look(self.handover)
+                if self._handing_over() and self.platform is not None:
+                    await self._hand_over(self.platform, fronts, told_us)
+                    break
+            await asyncio.sleep(DRAIN_LOOK_S)
+        else:
+            await asyncio.sleep(DRAIN_LOOK_S)  # the invoke front has yet to write the last answers
+        log.info("%s stops; nothing is owed", self.name)
+
+    def _owes(self) -> bool:
+        return bool(self.core.open) or self.platform is not None and self.platform.owes()
+
+    async def _hand_over(self, platform: Platform, fronts: list[Listener], told_us: int) -> None:
+        """Another process takes the new connections; those that stand here end one by one, once quiet."""
+        log.info("%s hands over; %d connections stand", self.name, len(platform.clients))
+        limits, began = self.limits, clock()
+        longest_us = max(kind.deadline_us for kind in self.core.settings.classes)
+        self.core.leave_us = told_us + limits.kill_after_us(longest_us) - limits.handover_spare_us
+        for front in fronts:
+            await front.finish()
+        while self._owes() or platform.stand():
+            await asyncio.sleep(DRAIN_LOOK_S)
+            since_us = clock() - began
+            platform.part(limits.handover_quiet_us if since_us < limits.handover_choosy_us else 0)
+        until = clock() + limits.handover_linger_us
+        while platform.clients and clock() < until:  # what crossed the end is read away
+            await asyncio.sleep(DRAIN_LOOK_S)
+
+    def print_counters(self) -> None:
+        answers = Counter[str]()
+        self.counters["loop.longest_us"] = int(self.selector.busiest_s * 1e6)
+        for (_, verdict), count in self.core.answers.items():
+            answers[f"answers.{verdict.value}"] += count
+        told = dict(sorted({**self.counters, **answers}.items()))
+        print(json.dumps({"counters": told}), file=sys.stderr, flush=True)
+
+
+def serve(file: Path) -> int:
+    """One instance set up by an operator's file, with the invoke front."""
+    from maplestile.invoke.operator import load
+
+    seed = os.urandom(8).hex()
+
+    def configure() -> Config:
+        operator = load(file)
+        return config_from({**operator.node, "seed": seed}, operator)
+
+    return _run(configure)
+
+
+def platform() -> int:
+    """A node of the platform, told all by its environment."""
+    return _run(read_config)
+
+
+def _run(configure: Callable[[], Config]) -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until its handler stands; the default ends the program
+    logs.start()
+    try:
+        selector = StampedSelector(clock)
+        loop: asyncio.AbstractEventLoop = asyncio.SelectorEventLoop(selector)
+        with asyncio.Runner(loop_factory=lambda: loop) as runner:
+
+            async def start() -> None:
+                await Node(configure, selector).run()
+
+            runner.run(start())
+    except (ConfigError, OSError) as fault:
+        log.error("cannot start: %s: %s", type(fault).__name__, fault)
+        return 1
+    return 0
+
+
+def read_config() -> Config:
+    file = os.environ.get("NODE_CONFIG")
+    if file is None:
+        raise ConfigError("NODE_CONFIG is not set")
+    try:
+        told = json.loads(Path(file).read_bytes())
+    except ValueError as fault:
+        raise ConfigError(f"no JSON: {fault}") from None
+    if not isinstance(told, dict):
+        raise ConfigError("no JSON object")
+    # The process that replaces another is told the same but for this address.
+    told["operator"] = os.environ.get("NODE_OPERATOR") or told.get("operator")
+    told["folder"] = os.environ.get("TMPDIR")
+    return config_from(told)
