--- a/maplestile/cli.py
+++ b/maplestile/cli.py
@@ -202,7 +202,7 @@
         what, phase = f"{rollout['action']} {rollout['kind']}", f"{rollout['phase']}{reason}"
         print(f"rollout {rollout['number']}", what, phase, done, f"budget {rollout['budget']}", sep="\t")
     for lease in told["leases"]:
-        held = f"held by {lease['holder']}"
+        held = f"held by {lease['holder'] or 'no agent'}"
         print(f"out: {lease['instance']}", lease["action"], lease["stage"], held, sep="\t")
 
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -237,8 +237,8 @@
             if other != number:
                 reach = self.relay.link(AGENTS * EACH + number, AGENTS * EACH + other, address)
                 text += f'reach = "{reach}"\n'
-        for n in range(number * EACH, number * EACH + EACH):
-            text += f'[[instance]]\nname = "r{n}"\nfile = "r{n}.toml"\n'
+        for name in self.of(number):
+            text += f'[[instance]]\nname = "{name}"\nfile = "{name}.toml"\n'
         if self.toy and not number:
             toy = [sys.executable, str(ROOT / "examples" / "toy_worker.py")]
             command = json.dumps([*toy, "--port", str(self.runner_ports[1])])
@@ -249,6 +249,23 @@
         self.test.addCleanup(self._end, program)
         return program
 
+    def asker(self) -> tuple[Program, int]:
+        """A fourth agent, which has no vote, with a router of its own; and its port."""
+        listen, invoke, operator, udp = free_ports(4)
+        text = (self.folder / "r0.toml").read_text().replace('name = "r0"', 'name = "r6"')
+        for old, new in ((self.invoke[0], invoke), (self.operator[0], operator), (self.udp[0], udp)):
+            text = text.replace(f"127.0.0.1:{old}", f"127.0.0.1:{new}")
+        (self.folder / "r6.toml").write_text(text.replace(self.relay.fronts[0], f"127.0.0.1:{udp}", 1))
+        ask = ", ".join(f'"127.0.0.1:{port}"' for port in self.listens)
+        file = self.folder / "asker.toml"
+        head = f'[agent]\nlisten = "127.0.0.1:{listen}"\n[control]\nname = "a3"\nask = [{ask}]\n'
+        file.write_text(head + '[[instance]]\nname = "r6"\nfile = "r6.toml"\nenv = { RELEASE = "one" }\n')
+        program = Program("agent", str(file))
+        self.test.addCleanup(self._end, program)
+        self.agents.append(program)
+        self.listens.append(listen)
+        return program, listen
+
     def _end(self, program: Program) -> None:
         """The agent with its routers, also those that one that was killed has left."""
         if program.process.poll() is None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -283,6 +283,12 @@
         self.watcher = Watcher(Rules(settle_us=0, step_us=20 * S), self.now)
         self.chance = random.Random(1)
         self.lost = set[str]()  # out without anybody's word
+        for agent, managed in (("a0", True), ("a1", False)):
+            names = [name for name, owner in self.control.instances.items() if owner == agent]
+            runners = {"w0": managed, "w1": False}
+            told = {"do": "register", "agent": agent, "instances": names, "runners": runners}
+            assert self.control.apply(told)["ok"]
+        self.unused = set[tuple[str, str]]()  # (agent, runner) where its routers have nothing with the runner
         self.begun = set[str]()  # what agents really have in hand or down: the truth beside the state
         self.released = set[str]()
 
@@ -291,6 +297,30 @@
     def start(self, action: str, budget: int, chosen: list[str]) -> None:
         self.control.apply({"do": "start", "action": action, "targets": chosen, "budget": budget})
 
+    @rule(action=st.sampled_from(("restart", "drain")), budget=st.integers(1, 2),
+          chosen=st.sampled_from((["w0"], ["w1"], ["w0", "w1"])))  # fmt: skip
+    def start_runners(self, action: str, budget: int, chosen: list[str]) -> None:
+        told = {"do": "start", "action": action, "targets": chosen, "budget": budget, "kind": "runners"}
+        self.control.apply(told)
+
+    @precondition(lambda self: self.control.out("runners"))
+    @rule(pick=st.integers(0, 1), agent=st.sampled_from(("a0", "a1")),
+          did=st.sampled_from(("begun", "out", "in", "renewed")))  # fmt: skip
+    def part(self, pick: int, agent: str, did: str) -> None:
+        out = self.control.out("runners")
+        lease = self.control.leases[out[pick % len(out)]]
+        told = {"agent": agent, "instance": lease.instance, "lease": lease.number}
+        if did == "renewed":
+            if self.control.apply({"do": did, **told})["ok"]:
+                # Its process is touched only while no router anywhere uses it.
+                assert {(one, lease.instance) for one in ("a0", "a1")} <= self.unused
+            return
+        if self.control.apply({"do": "part", "did": did, **told})["ok"]:
+            if did == "out":
+                self.unused.add((agent, lease.instance))
+            elif did == "in":
+                self.unused.discard((agent, lease.instance))
+
     @rule(what=st.sampled_from(("halt", "resume", "undo")))
     def operator(self, what: str) -> None:
         self.control.apply({"do": what})
@@ -313,17 +343,17 @@
             return
         reply = self.control.apply(command)
         assert reply["ok"], reply  # nothing came between
-        if command["do"] == "grant" and command["instance"] not in self.begun:
-            rollout = self.control.rollout
-            assert rollout is not None
-            down = self.lost | set(self.control.leases)
+        rollout = self.control.rollout
+        assert rollout is not None
+        if command["do"] == "grant" and command["instance"] not in self.begun and rollout.kind == "routers":
+            down = self.lost | set(self.control.out("routers"))
             assert len(down) <= rollout.budget, (down, rollout)
 
-    @precondition(lambda self: self.control.leases)
+    @precondition(lambda self: self.control.out("routers"))
     @rule(pick=st.integers(0, 9), do=st.sampled_from(("begin", "back", "out")))
     def agent(self, pick: int, do: str) -> None:
-        leases = sorted(self.control.leases.values(), key=lambda lease: lease.number)
-        lease = leases[pick % len(leases)]
+        out = self.control.out("routers")
+        lease = self.control.leases[out[pick % len(out)]]
         told = {"agent": lease.holder, "instance": lease.instance, "lease": lease.number}
         if self.control.apply({"do": do, **told})["ok"]:
             (self.begun.discard if do == "back" else self.begun.add)(lease.instance)
@@ -335,6 +365,7 @@
         name = sorted(self.control.leases)[pick % len(self.control.leases)]
         assert self.control.apply({"do": "release", "instance": name})["ok"]
         self.begun.discard(name)
+        self.unused = {(agent, runner) for agent, runner in self.unused if runner != name}
 
     @invariant()
     def what_is_out_is_counted(self) -> None:
@@ -343,9 +374,10 @@
     @invariant()
     def leases_keep_to_the_budget(self) -> None:
         rollout = self.control.rollout
-        if rollout is not None and self.control.leases:
-            most = max([rollout.budget, *(old.budget for old in self.control.history)])
-            assert len(self.control.leases) <= most
+        rollouts = [*self.control.history, *([rollout] if rollout is not None else [])]
+        for kind in ("routers", "runners"):
+            budgets = [one.budget for one in rollouts if one.kind == kind]
+            assert len(self.control.out(kind)) <= max(budgets, default=0)
 
     @invariant()
     def ends_are_ends(self) -> None:
--- a/tests/test_process_rollout.py
+++ b/tests/test_process_rollout.py
@@ -13,6 +13,7 @@
 import time
 import unittest
 from collections import Counter
+from pathlib import Path
 from typing import Any
 
 from maplestile import agent
@@ -177,6 +178,7 @@
         leader = self.fleet.leader()
         assert leader is not None
         others = self.agents(leader)
+        calls = Calls(self.fleet, 10)
         self.start(others[0], "--budget", "3")
         self.until_event("begin")
         small = [leader * EACH, leader * EACH + 1, len(self.fleet.names) + leader]
@@ -194,8 +196,10 @@
         self.fleet.relay.ask("heal")
         self.fleet.until_phase(leader, "done")
         self.kept(3)
+        self.no_call_lost_or_run_twice(calls.result())
 
     def test_a_fifth_of_all_messages_lost_delays_a_rollout_and_breaks_nothing(self) -> None:
+        calls = Calls(self.fleet, 10)
         self.fleet.relay.begin(net={"loss": 0.2})
         eventually(lambda: self.fleet.run(0, "rollout", "start", "--budget", "2")[0] == 0, "the start")
         eventually(lambda: self.fleet.phase(0) == "done" or self.fleet.phase(0) == "halted", "an end")
@@ -204,6 +208,32 @@
             self.fleet.run(0, "rollout", "resume")
             self.fleet.until_phase(0, "done")
         self.kept(2)
+        self.no_call_lost_or_run_twice(calls.result())
+
+
+class AskerTest(FleetTest):
+    """An agent without a vote takes part through those that have one."""
+
+    def test_it_asks_and_its_router_is_replaced_and_restored(self) -> None:
+        agent, _ = self.fleet.asker()
+        eventually(lambda: "r6" in self.fleet.status(0)["instances"], "its router known to all")
+        eventually(lambda: self.fleet.run(3, "ready")[0] == 0, "its router ready")
+        self.assertEqual(self.release(), "one")
+        agent.file.write_text(agent.file.read_text().replace("one", "two"))
+        self.start(3, "--action", "replace", "--budget", "2", "r6", "r1")
+        self.fleet.until_phase(3, "done")
+        self.assertEqual(self.release(), "two")
+        self.assertEqual(self.fleet.run(3, "rollout", "undo")[0], 0)
+        self.fleet.until_phase(3, "undone")
+        self.assertEqual(self.release(), "one")
+        self.assertEqual(self.fleet.status(0)["leases"], [])
+        self.kept(2)
+
+    def release(self) -> str:
+        """What the environment of r6 says, as its agent's file told at its start."""
+        pid = self.fleet.command(3, "status", "r6")[0]["instances"]["r6"]["pid"]
+        environment = Path(f"/proc/{pid}/environ").read_bytes().decode().split("\0")
+        return next(word for word in environment if word.startswith("RELEASE=")).partition("=")[2]
 
 
 class StuckTest(FleetTest):
