Have a drain end the invoke front without losing the calls that come just then

Seen: on a busy machine one call of 366 was lost in a rollout (load tool: sent, no answer). Cause: when nothing was owed the process closed listener and connections at once; what came in those milliseconds, on a kept connection or in the queue of the listener, went with them. Now answers in a drain ask the client to close, and at the end the queue is emptied and answered, and resting connections get an end of file. The platform's front is untouched.

--- a/maplestile/net/http.py
+++ b/maplestile/net/http.py
@@ -15,6 +15,7 @@
 log = logging.getLogger(__name__)
 READ_BYTES, HEAD_BYTES, AHEAD_BYTES, QUEUE = 16_384, 16_384, 262_144, 512
 WRITE_S = 10.0
+QUIET_S, LOOK_S = 0.1, 0.01  # at the end of a drain: for what crosses it, and between two looks
 
 
 class TooLarge(Exception):
@@ -35,6 +36,7 @@
     ) -> None:
         self.front, self.app, self.counters, self.received = front, app, counters, received
         self.connections = 0
+        self.leaving = False  # the process ends: each answer asks its client to go elsewhere with the next
         self.idle: dict[Exchange, None] = {}  # those with no request begun, the one silent longest first
         self.begun: dict[Exchange, None] = {}  # those whose request is not whole, the oldest first
 
@@ -66,6 +68,21 @@
             self.begun.pop(exchange, None)
             writer.close()
 
+    async def end(self, listener: Listener) -> None:
+        """The last of a drain, when nothing is owed: nobody is accepted any more, what the queue held and
+        what comes meanwhile is still answered, and then this side of each connection ends while it rests.
+        Guards calls that come just then: closed at once, their connections lost them without an answer."""
+        await listener.finish()
+        await asyncio.sleep(QUIET_S)  # those just accepted have yet to be read
+        until_s = asyncio.get_running_loop().time() + WRITE_S
+        while self.connections > len(self.idle) and asyncio.get_running_loop().time() < until_s:
+            await asyncio.sleep(LOOK_S)
+        for exchange in list(self.idle):
+            exchange.writer.write_eof()
+        until_s = asyncio.get_running_loop().time() + QUIET_S
+        while self.connections and asyncio.get_running_loop().time() < until_s:
+            await asyncio.sleep(LOOK_S)
+
     def _make_room(self) -> bool:
         """Guards against connections that say nothing and lock out whoever has something to ask; on a front
         of one call each, also against those that never say all of it."""
@@ -111,7 +128,8 @@
                 return
             if request is None:
                 return
-            await self._write(await self._answer(request), self.http.bounds.one_call)
+            answer = await self._answer(request)
+            await self._write(answer, self.http.bounds.one_call or self.http.leaving)
             if self.wire.our_state is not h11.DONE or self.wire.their_state is not h11.DONE:
                 return
             self.wire.start_next_cycle()
--- a/maplestile/node.py
+++ b/maplestile/node.py
@@ -28,6 +28,7 @@
 
 if TYPE_CHECKING:  # a process loads only the fronts that are set up
     from maplestile.invoke.api import Api
+    from maplestile.net.http import Http
     from maplestile.net.peers import Peers
     from maplestile.operation.bans import Bans
 
@@ -58,6 +59,7 @@
         self.listening = False
         self.began_us, self.live = clock(), 1
         self.api: Api | None = None
+        self.invoke: tuple[Http, Listener] | None = None
         self.names: Names | None = None
         self.asking: asyncio.Task[None] | None = None
         self.platform: Platform | None = None
@@ -207,6 +209,7 @@
             http = Http("invoke", self.api, self.counters, self._received)
             fronts.append(await http.start(*address(operator.listen)))
             self._listens("invoke", fronts[-1])
+            self.invoke = http, fronts[-1]
         return fronts
 
     async def _operation(self) -> Listener | None:
@@ -301,6 +304,8 @@
         until = told_us + self.limits.drain_least_us
         if self.peers is not None:  # the others hear of the leave, and suspect nobody
             self.peers.leave()
+        if self.invoke is not None:
+            self.invoke[0].leaving = True
         if self.handover is not None:
             self.handover.leaving()
         while clock() < until or self._owes():
@@ -312,6 +317,9 @@
             await asyncio.sleep(DRAIN_LOOK_S)
         else:
             await asyncio.sleep(DRAIN_LOOK_S)  # the invoke front has yet to write the last answers
+            if self.invoke is not None:
+                http, listener = self.invoke
+                await http.end(listener)
         log.info("%s stops; nothing is owed", self.name)
 
     def _owes(self) -> bool:
