--- a/tests/test_process_rollout.py
+++ b/tests/test_process_rollout.py
@@ -80,6 +80,12 @@
         """The rollout as the first agent's replica has it; that may be a little behind its start."""
         return self.fleet.status(0).get("rollout") or {"done": []}
 
+    def hang(self, number: int) -> "Hung":
+        hung = Hung(self.fleet.invoke[number])
+        eventually(lambda: any(b"hang" in worker_bytes(call) for worker in self.fleet.workers
+                               for call in worker.ran), "the call that hangs")  # fmt: skip
+        return hung
+
     def told(self, event: str) -> list[dict[str, Any]]:
         return [told for told in self.fleet.events() if told["event"] == event]
 
@@ -143,6 +149,7 @@
         self.until_none_out(0)  # nothing half done
 
     def test_a_drain_is_halted_and_undone_in_reverse_order_under_load(self) -> None:
+        self.hang(4)  # the drain of r4 takes as long as this call, so that the halt comes in the midst
         calls = Calls(self.fleet, 10)
         self.start(0, "--action", "drain", "--budget", "3", "r1", "r2", "r4")
         eventually(lambda: len(self.status()["done"]) >= 1, "a drained router")
@@ -295,12 +302,6 @@
         self.fleet.run(asked, "rollout", "resume")
         self.fleet.until_phase(asked, "done")
 
-    def hang(self, number: int) -> "Hung":
-        hung = Hung(self.fleet.invoke[number])
-        eventually(lambda: any(b"hang" in worker_bytes(call) for worker in self.fleet.workers
-                               for call in worker.ran), "the call that hangs")  # fmt: skip
-        return hung
-
 
 class RunnerTest(FleetTest):
     """Runners taken out at all routers, one of them a process of the first agent."""
