Handle a file that cannot be reread in one place in the steward

The fault was logged and raised only for both callers to suppress it. It is logged where it is met, and the step goes on with what stood before, as it did. Checked: ruff, mypy, and the process test that replaces and restores a router.

--- a/maplestile/steward.py
+++ b/maplestile/steward.py
@@ -168,8 +168,7 @@
             return
         if first and action != "start":
             await self._drain(hands, told)
-            with contextlib.suppress(Exception):  # what cannot be read stays as it was; the log tells
-                self._change(action, hands, told)
+            self._change(action, hands, told)
         hands.start()
         while not await hands.ready():
             await asyncio.sleep(READY_S)
@@ -182,9 +181,8 @@
                 hands.renew()
             elif action == "restore":
                 hands.restore()
-        except Exception as fault:
+        except Exception as fault:  # what cannot be read stays as it was, and the step goes on
             self.events.error("not replaced", fault=str(fault), **told)
-            raise
 
     async def _drain(self, hands: Process, told: Mapping[str, Any]) -> None:
         """Its calls in flight are ended by itself; it is never killed, however long that takes."""
@@ -248,8 +246,7 @@
         """The runner's process, which no router uses now."""
         process = self.others[lease.instance]
         await self._drain(process, told)
-        with contextlib.suppress(Exception):
-            self._change(lease.action, process, told)
+        self._change(lease.action, process, told)
         process.start()
         while not process.running():
             await asyncio.sleep(READY_S)
