--- a/maplestile/__init__.py
+++ b/maplestile/__init__.py
@@ -2,4 +2,5 @@
 
 from maplestile.decide import Dispatcher
 
-__all__ = ["Dispatcher"]
+__version__ = "0.1.0"
+__all__ = ["Dispatcher", "__version__"]
--- a/maplestile/agent.py
+++ b/maplestile/agent.py
@@ -20,7 +20,7 @@
 
 from maplestile.config import address
 from maplestile.invoke.operator import OperatorError
-from maplestile.invoke.operator import load as load_operator
+from maplestile.invoke.operator import read as read_operator
 from maplestile.operation.api import MEMBERS, METRICS, READY, RUNNERS
 from maplestile.operation.client import CallError, call
 from maplestile.table import Table
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:  # an agent without a control plane loads nothing of it
     from maplestile.control.decide import Word
     from maplestile.control.plan import ControlPlan
+    from maplestile.herald import Herald
     from maplestile.steward import Steward
 
 log = logging.getLogger("maplestile.agent")
@@ -305,21 +306,25 @@
         except TimeoutError:
             return None
 
-    async def operate(self, method: str, path: str) -> dict[str, Any]:
-        """What its operators' front answers: `ok`, and the body or what went wrong."""
+    async def operate(
+        self, method: str, path: str, content: bytes = b"", wait_s: float = ANSWER_S
+    ) -> dict[str, Any]:
+        """What its operators' front answers: `ok`, the body or what went wrong, and the status if it gave
+        one; `no_front` where there is none."""
         try:
             told = self.spec.operator
             if not told and self.spec.file is not None:
-                told = load_operator(self.spec.file).node.get("operator", "")
+                operation = Table(read_operator(self.spec.file), "", OperatorError).table("operation")
+                told = operation.loopback("listen") if operation.values else ""
             if not told:
-                return {"ok": False, "told": "it has no operators' front"}
-            status, body = await call(address(told), method, path, ANSWER_S)
+                return {"ok": False, "told": "it has no operators' front", "no_front": True}
+            status, body = await call(address(told), method, path, wait_s, content)
         except (CallError, OperatorError) as fault:
             return {"ok": False, "told": str(fault)}
         if status >= 400:
             with contextlib.suppress(ValueError, KeyError, TypeError):
                 body = json.loads(body)["detail"]
-        return {"ok": status < 300, "told": body.strip()}
+        return {"ok": status < 300, "told": body.strip(), "status": status}
 
     def _told(self, line: bytes) -> bool:
         try:
@@ -346,6 +351,7 @@
         self.ended = asyncio.Event()
         self.counters: Counter[str] = Counter()
         self.steward: Steward | None = None
+        self.herald: Herald | None = None
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -367,6 +373,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _steward(self, control: "ControlPlan") -> None:
+        from maplestile.herald import Herald
         from maplestile.net.asked import Asked
         from maplestile.net.raft import Raft
         from maplestile.steward import Plane, Steward
@@ -377,11 +384,15 @@
         # Of the others those whose names are runners' ids are the processes of these.
         others = {name: one for name, one in self.instances.items() if name not in hands}
         self.steward = Steward(control, plane, hands, others, self.counters)
+        self.herald = Herald(control, plane, hands, self.counters)
+        telling = asyncio.get_running_loop().create_task(self.herald.run())
         try:
             await self.steward.run()
         except Exception:
             log.exception("the control plane has failed; the instances go on without it")
             raise
+        finally:
+            telling.cancel()
 
     def _hang_up(self) -> None:
         """What its instances read anew; the agent's own file is read at its start alone."""
@@ -418,10 +429,12 @@
             case "counters" | "reload":
                 asks = (i.count() if do == "counters" else i.reload() for i in chosen)
                 return {do: dict(zip(names, await asyncio.gather(*asks), strict=True))}
-            case "rollout" | "control" if self.steward is None:
+            case "rollout" | "control" | "policy" if self.steward is None:
                 return {"error": "this agent has no control plane: no [control] in its file"}
             case "rollout" if self.steward is not None:
                 return await self.steward.asked(str(asked.get("what")), asked.get("command") or {})
+            case "policy" if self.herald is not None:
+                return await self.herald.asked(str(asked.get("what")), asked.get("command") or {})
             case "control" if self.steward is not None:  # of an agent that is no voter
                 return await self.steward.served(asked.get("command"))
             case str() if do in OPERATE:
--- a/maplestile/cli.py
+++ b/maplestile/cli.py
@@ -12,8 +12,9 @@
 from maplestile.config import address
 from maplestile.control.state import ACTIONS
 from maplestile.faults.schedule import ScheduleError
-from maplestile.invoke.operator import OperatorError, load
-from maplestile.table import Table
+from maplestile.invoke.operator import OperatorError, load, read
+from maplestile.policy import command
+from maplestile.table import ConfigError, Table
 
 DEFAULT_AGENT = "127.0.0.1:7070"
 
@@ -67,6 +68,7 @@
             one.add_argument("instance")
         one.add_argument("--agent", default=DEFAULT_AGENT, metavar="HOST:PORT")
         one.add_argument("--json", action="store_true", help="print the agent's whole answer")
+    command.add(commands, DEFAULT_AGENT)
     model = commands.add_parser("model", help="run an experiment of the membership protocol on the model")
     model.add_argument("file", type=Path)
     model.add_argument("--format", choices=("json", "csv"), default="json")
@@ -108,8 +110,11 @@
             case "serve":
                 from maplestile.node import serve
 
-                load(asked.file)  # its mistakes are told without the log's dress
+                if "policy" not in read(asked.file):  # else it may fit by the fleet's policy alone
+                    load(asked.file)  # its mistakes are told without the log's dress
                 return serve(asked.file)
+            case "check" if command.is_policy_file(asked.file):
+                print(f"{asked.file}: a policy, {command.checked(asked.file).digest()}")
             case "check":
                 operator = load(asked.file)
                 print(f"{asked.file}: {len(operator.functions)} functions, {len(operator.tenants)} tenants")
@@ -121,13 +126,15 @@
                 return _model(asked)
             case "relay":
                 return _relay(asked)
+            case "policy":
+                return command.run(asked, _agent_says)
             case "rollout":
                 return _rollout(asked)
             case "load":
                 return _load(asked)
             case _:
                 return _ask(asked)
-    except (OperatorError, traces.TraceError) as fault:
+    except (ConfigError, traces.TraceError) as fault:
         print(f"maplestile: {fault}", file=sys.stderr)
         return 1
     except BrokenPipeError:
@@ -258,7 +265,7 @@
 
 def _model(asked: argparse.Namespace) -> int:
     """Exit 0 with the figures; 2 for a file that cannot be used, with the field named."""
-    from maplestile.model import experiment, report, rollout, run
+    from maplestile.model import experiment, policy, report, rollout, run
 
     spread: report.Spread | None = None
     try:
@@ -266,6 +273,9 @@
         if told.get("kind") == "rollout":
             plan = rollout.parse(told)
             spread = report.over(rollout.figures, rollout.with_seeds(plan, asked.seeds))
+        elif told.get("kind") == "policy":
+            changes = policy.parse(told)
+            spread = report.over(policy.figures, policy.with_seeds(changes, asked.seeds))
         else:
             chosen = experiment.parse(told)
             if asked.seeds > 1:
--- a/maplestile/config.py
+++ b/maplestile/config.py
@@ -1,7 +1,7 @@
 """The whole configuration of one function router: read and checked before anything of it is used."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, fields, replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -41,12 +41,15 @@
         changed += [n for n in told if getattr(self, n) != getattr(new, n)]
         if self.operator is not None and new.operator is not None:
             changed += ["invoke.listen"] * (self.operator.listen != new.operator.listen)
+            changed += ["policy"] * (self.operator.policy != new.operator.policy)
         return changed
 
 
 def config_from(told: Mapping[str, Any], operator: "Operator | None" = None) -> Config:
     try:
         settings, limits, fleet = settings_from(told["settings"]), told.get("limits", {}), Fleet()
+        if operator is not None:
+            settings = replace(settings, epoch=operator.epoch)
         fleet.apply_known(told.get("known", {"updates": []}))
         return Config(
             name=str(told.get("name", "")),
--- a/maplestile/control/plan.py
+++ b/maplestile/control/plan.py
@@ -20,8 +20,9 @@
 
 from maplestile.config import address as parsed
 from maplestile.control.decide import Rules
-from maplestile.control.state import Refusal, budget_of
+from maplestile.control.state import budget_of
 from maplestile.fleet import Address
+from maplestile.refusal import Refusal
 from maplestile.table import Table
 
 VOTERS = (1, 3, 5)  # one is for trying things out: it outlives no failure
--- a/maplestile/control/state.py
+++ b/maplestile/control/state.py
@@ -25,6 +25,9 @@
 from enum import Enum
 from typing import Any
 
+from maplestile.policy.agreed import Agreed
+from maplestile.refusal import Refusal
+
 ACTIONS = ("restart", "drain", "replace")
 KINDS = ("routers", "runners")
 HISTORY_MOST, NAME_BYTES, TARGETS_MOST = 20, 64, 2000
@@ -75,10 +78,6 @@
     kind: str = "routers"  # or runners
 
 
-class Refusal(Exception):
-    """A command that does not fit; the text is the reason, for the one that asked."""
-
-
 class Control:
     """The agreed state. `apply` is the one way to change it."""
 
@@ -91,6 +90,12 @@
         self.leases: dict[str, Lease] = {}  # by instance
         self.number = 0  # of the last rollout or lease: one count for both, so that no number comes again
         self.worst_out = dict.fromkeys(KINDS, 0)  # the most that were ever out at once by leases
+        self.policy = Agreed()
+
+    def __setstate__(self, told: dict[str, Any]) -> None:
+        """Of a snapshot: one that an earlier release has written lacks what is agreed on only since."""
+        self.__init__()  # type: ignore[misc]
+        self.__dict__.update(told)
 
     def apply(self, command: Command) -> Reply:
         """`{"ok": True, ...}`, or `{"ok": False, "reason": text}` with nothing changed."""
@@ -98,6 +103,7 @@
             "register": self._register, "start": self._start, "grant": self._grant, "begin": self._begin,
             "back": self._back, "out": self._out, "halt": self._halt, "resume": self._resume,
             "undo": self._undo, "release": self._release, "part": self._part, "renewed": self._renewed,
+            **self.policy.commands(self.instances),
         }  # fmt: skip
         handler = handlers.get(str(command.get("do")))
         if handler is None:
@@ -378,6 +384,7 @@
         control.history = [rollout(one) for one in told["history"]]
         leases = (Lease(**{**one, "stage": Stage(one["stage"])}) for one in told["leases"])
         control.leases = {lease.instance: lease for lease in leases}
+        control.policy = Agreed.of(told["policy"])
         return control
 
     def told(self) -> dict[str, Any]:
@@ -392,6 +399,7 @@
             "rollout": None if self.rollout is None else rollout(self.rollout),
             "history": [rollout(one) for one in self.history],
             "leases": [asdict(lease) | {"stage": lease.stage.value} for lease in self.leases.values()],
+            "policy": self.policy.told(),
         }  # fmt: skip
 
 
--- a/maplestile/core.py
+++ b/maplestile/core.py
@@ -20,6 +20,7 @@
 AttemptId = tuple[int, int]
 Report = tuple[tuple[str, float], ...]
 RECORD_BYTES, BODY_COPIES = 4096, 3
+EPOCHS_MOST = 8  # policies whose calls are counted: the last ones
 
 
 class Verdict(Enum):
@@ -79,6 +80,7 @@
     answer: Callable[[Outcome], None]
     attempts: int = 0
     ran: bool = False
+    epoch: int = 0  # of the policy that it was taken under
 
 
 @dataclass(slots=True)
@@ -110,6 +112,10 @@
     # Where routers know each other: whether a probe of the module's goes out from here, and how any ended.
     may_probe: Callable[[str], bool] = lambda worker: True
     probed: Callable[[str, Result], None] = lambda worker, result: None
+    # Where a fleet agrees on the policy: whether new calls are taken now, and each attempt with its epoch.
+    admits: Callable[[], bool] | None = None
+    sent: Callable[[AttemptId, int], None] | None = None
+    epochs: dict[int, Counter[str]] = field(default_factory=dict)  # calls and attempts decided under each
     open: dict[int, Open] = field(default_factory=dict)
     flights: dict[AttemptId, Flight] = field(default_factory=dict)
     errands: dict[int, Errand] = field(default_factory=dict)
@@ -118,12 +124,22 @@
     ticks: list[int] = field(default_factory=list)
     number: int = 0
     open_bytes: int = 0
+    decided: Counter[str] = field(init=False)  # of the epoch in force
     armed: int = 0
     acting: bool = False
     leave_us: int = 0  # when the process ends while another one serves; 0 if it stays
 
     def __post_init__(self) -> None:
         self.dispatcher = Dispatcher(self.settings, self.seed)
+        self.decided = self.epochs.setdefault(self.settings.epoch, Counter())
+
+    def adopt(self, settings: api.Settings, limits: Limits) -> None:
+        """Another policy, for the calls that come from now on; `tick_us` has to be the same."""
+        self.settings, self.limits = settings, limits
+        self.decided = self.epochs.setdefault(settings.epoch, Counter())
+        for old in sorted(self.epochs)[:-EPOCHS_MOST]:
+            del self.epochs[old]
+        self.give(api.PolicyChanged(settings))
 
     # What the fronts call.
 
@@ -137,16 +153,18 @@
         leaving = 0 < self.leave_us < due_us
         if leaving:
             due_us = self.leave_us
-        self.open[call] = Open(request, due_us, answer)
+        self.open[call] = Open(request, due_us, answer, epoch=self.settings.epoch)
         self.open_bytes += request.bytes()
         full = len(self.open) > self.limits.open_requests or self.open_bytes > self.limits.open_bytes
         # Guards memory against a flood, and the requests in hand against a loop that lags ever more.
         lags = now - received_us > self.limits.lag_most_us
-        if full or lags or (leaving and due_us - now < self.limits.handover_least_us):
+        barred = self.admits is not None and not self.admits()  # the policy to decide by is not known
+        if barred or full or lags or (leaving and due_us - now < self.limits.handover_least_us):
             self.counters["requests.shed"] += 1
             later_us = 0 if leaving else self.limits.max_retry_after_us  # the other process takes it at once
             self._finish(call, Outcome(Verdict.REFUSED, retry_after_us=later_us))
             return call
+        self.decided["calls"] += 1
         self.at(due_us, lambda: self._overdue(call))
         self.give(
             api.CallArrived(
@@ -308,6 +326,12 @@
         wait_us = min(action.timeout_us or call.due_us - now, call.due_us - now)
         self.flights[attempt] = Flight(action.worker, now)
         self.counters["attempts.sent"] += 1
+        if action.epoch in self.epochs:
+            self.epochs[action.epoch]["attempts"] += 1
+        if action.epoch != call.epoch:  # must never be: a call is decided under one policy from end to end
+            self.counters["policy.mixed_calls"] += 1
+        if self.sent is not None:
+            self.sent(attempt, action.epoch)
         self.at(now + max(0, wait_us), lambda: self._timed_out(attempt))
         self.pool.send(attempt, action.worker, call.request, max(1, wait_us))
 
--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -1,11 +1,11 @@
 """Every decision of maplestile, by ADC and docs/design.md; its types stand in maplestile/interface.py."""
 
-import hashlib
 import math
 from collections.abc import Callable
 from random import Random
 
 from maplestile import interface as api
+from maplestile.hashing import digest, mixed
 from maplestile.interface import ANSWERS, NEVER_RAN, Effect, ListKind, Result, Scope, Warmth, WorkerState
 from maplestile.state import CACHING, MULTIPLE, SINGLE, Attempt, Call, Copy, Row, Window, Worker, Zone
 
@@ -45,14 +45,12 @@
 LATE_US, LATE_LEARN = 3_000_000, 0.1  # time over which the late share is learned, and the most of one sample
 LATER_US = 1_000_000  # how long a refused client is to stay away: at once it would meet the same jam
 LATE_WORTH = 0.25  # told worth of a late answer from which none is given up: what its place would earn
-BITS, SPREADER = 64, 0x9E3779B97F4A7C15  # of the hashes behind ranking and ramp; odd, from the golden ratio
 
 
 class Dispatcher:
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.set, self.now, self.out = settings, 0, list[api.Action]()
-        self.random, self.salt, self.keep_us = Random(seed), digest(str(seed)), settings.keep_us or SPELL_US
-        self.classes, self.memory = {c.name: c for c in settings.classes}, dict(settings.kind_memory_mb)
+        self.now, self.out, self.memory = 0, list[api.Action](), dict(settings.kind_memory_mb)
+        self.random, self.salt = Random(seed), digest(str(seed))
         self.work: dict[str, float] = {}  # learned service time by class
         self.rows: dict[str, Row] = {}
         self.lists: tuple[dict[str, Row], ...] = ({}, {}, {})
@@ -65,7 +63,15 @@
         self.loads: dict[Copy, Worker] = {}
         self.weights, self.retries, self.heat, self.heat_us, self.began_us = 0.0, RETRY_BURST, 0.0, 0, 0
         self.listed_us = 0
-        self.arrivals, self.orders = (Window(settings.order_window_us + edge) for edge in (0, 1))  # edge
+        self.arrivals, self.orders = Window(0), Window(0)  # `adopt` sizes them; orders count at the edge, too
+        self.adopt(settings)
+
+    def adopt(self, settings: api.Settings) -> None:
+        """Another policy from now on; calls in hand keep the rules that they came under."""
+        self.set, self.classes = settings, {c.name: c for c in settings.classes}
+        self.keep_us = settings.keep_us or SPELL_US
+        self.arrivals.span_us, self.orders.span_us = settings.order_window_us, settings.order_window_us + 1
+        for worker in self.workers.values(): worker.sends.span_us = settings.fall_us
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
         self.now, self.out = now_us, []
@@ -78,6 +84,7 @@
                 self.heard(self.workers[event.worker].entry.zone)
             case api.TimerDue(): self.timers.pop(event.token, lambda: None)()
             case api.WorkerList(): self.on_list(event)
+            case api.PolicyChanged(settings): self.adopt(settings)
             case api.CallExpired(): self.close(self.calls.get(event.call))
             case api.StreamStarted() if event.call in self.calls: self.calls[event.call].streaming = True
         return self.out
@@ -102,9 +109,9 @@
             self.settle(row, max(SINGLE, row.place))
 
     def rises(self, row: Row, place: int) -> bool:
-        full = len(self.lists[place]) >= self.capacity
-        worst = max(self.lists[place].values(), key=aged, default=None) if full or place == CACHING else None
-        if worst is not None and aged(row) >= aged(worst): return False
+        there, full = self.lists[place].values(), len(self.lists[place]) >= self.capacity
+        worst = max(there, key=Row.aged, default=None) if full or place == CACHING else None
+        if worst is not None and row.aged() >= worst.aged(): return False
         self.settle(row, place)
         if full and worst is not None and not (place == CACHING and self.rises(worst, MULTIPLE)):
             self.settle(worst, SINGLE)  # evicted rows drop one list
@@ -172,13 +179,13 @@
         if row is None:
             expected_us = self.work.get(kind.name, SERVICE_AIMS * kind.aim_us), LOAD_AIMS * kind.aim_us
             row = self.rows[event.function] = Row(event.function, digest(event.function), *expected_us)
-        row.memory_mb, row.lanes = event.memory_mb, max(1, event.lanes)
+        row.memory_mb, row.lanes, group = event.memory_mb, max(1, event.lanes), f"{kind.name} {event.tenant}"
         # In overload an answer past its aim is given up: its place goes to a call that can still be in time.
         hurried = self.late > SHED_AT and kind.effect is Effect.SAFE and kind.late_worth < LATE_WORTH
         budget_us = min(event.budget_us, kind.aim_us) if hurried else event.budget_us
         tenth_us = int(min(1.0, budget_us / ANSWER_FULL_US) * budget_us) // 10
         due_us = self.now + max(0, budget_us - max(ANSWER_TICKS * self.set.tick_us, min(ANSWER_US, tenth_us)))
-        call = Call(event.call, row, kind, f"{kind.name} {event.tenant}", self.now, due_us, event.cost_us)
+        call = Call(event.call, row, kind, group, self.now, due_us, self.set, event.cost_us)
         self.calls[call.id] = call
         self.arrivals.add(self.now)
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
@@ -219,7 +226,7 @@
         known = home is not None and not grown and home in ranked[: 2 * width - 1]
         if home is not None and known and not row.copy(home).busy and self.fits(call, home): return home
         row.width = max(width, known * row.width)
-        seats = [w for w in seats if w.entry.zone == self.set.zone] or seats
+        seats = [w for w in seats if w.entry.zone == call.rules.zone] or seats
         drawn = seats and self.random.choices(seats, [w.entry.weight for w in seats], k=CHOICES)
         drawn = [*(near if call.attempts else drawn), *([home] if home is not None and known else [])]
         fits = {w: self.fits(call, w) for w in dict.fromkeys(drawn)}  # the same ones are drawn often
@@ -261,7 +268,7 @@
         joined = next((w for w in waits if w in fit), None)
         if joined is not None: return joined
         if fit and self.may_load() and self.now >= row.loading_us + row.load_us:
-            untold = next((w for w in fit if self.set.loads_on_miss or not row.copy(w).absent_us), None)
+            untold = next((w for w in fit if call.rules.loads_on_miss or not row.copy(w).absent_us), None)
             # A turn at a busy copy comes sooner than a load ends; the load then is for the calls after this.
             if untold is not None and not (waits and self.well(call, waits[0])): return untold
             any(self.order(row, w) for w in fit)  # the first that takes it
@@ -292,7 +299,7 @@
         row, paused_us = call.row, max(worker.full_us.get(call.group, 0), worker.full_us.get("", 0))
         room = self.now >= worker.laden_us or self.is_warm(row, worker) or row.copy(worker).loading_us
         if self.now < paused_us or not room: return False
-        twice = call.outstanding() and not self.set.may_duplicate
+        twice = call.outstanding() and not call.rules.may_duplicate
         barred = call.attempts and (twice or not self.repeatable(call, worker))
         return not barred and self.ramp_allows(worker, call)
 
@@ -301,27 +308,27 @@
         ran = [a for a in call.attempts if a.result not in NEVER_RAN]
         met = [a.result for a in call.attempts if a.worker is worker and a.result not in ELSEWHERE]
         tried = met and met != [Result.RESET]  # a connection that broke says little of the worker
-        if tried or len(call.attempts) >= self.set.max_attempts or not self.running(worker): return False
+        if tried or len(call.attempts) >= call.rules.max_attempts or not self.running(worker): return False
         return not ran or call.kind.effect is Effect.SAFE or self.drops(call, ran, worker.entry)
 
     def drops(self, call: Call, ran: list[Attempt], entry: api.WorkerEntry) -> bool:
         """A keyed call goes again only where its repeats are dropped, and only while they are remembered."""
         kind, first = call.kind, ran[0].worker.entry
-        kept = kind.effect is Effect.KEYED and self.now + self.set.tick_us < ran[0].sent_us + kind.window_us
+        kept = kind.effect is Effect.KEYED and self.now + call.rules.tick_us < ran[0].sent_us + kind.window_us
         same = first.zone == entry.zone if kind.scope is Scope.ZONE else first.cell == entry.cell
         return kept and (same or kind.scope is Scope.ALL)
 
     def ramp_allows(self, worker: Worker, call: Call) -> bool:
         """Rule 4 for the fleet: each dispatcher lets a random part of its calls through, and no more than its
         share plus one call. One turned away elsewhere stays with the warm: a storm of them would come."""
-        age_us = self.now - worker.entry.started_us
-        if not worker.entry.started_us or age_us >= self.set.cold_us: return True
+        age_us, rules = self.now - worker.entry.started_us, call.rules
+        if not worker.entry.started_us or age_us >= rules.cold_us: return True
         # The share of its capacity that it surely has: it rises evenly at the slowest.
-        share = self.set.cold_share + (1 - self.set.cold_share) * max(0, age_us) / self.set.cold_us
-        part = RAMP_SAFETY * self.set.fall_multiple * share
+        share = rules.cold_share + (1 - rules.cold_share) * max(0, age_us) / rules.cold_us
+        part = RAMP_SAFETY * rules.fall_multiple * share
         if call.attempts or mixed(self.salt ^ worker.salt, digest(str(call.id))) > part: return False
         rate = self.rate() * worker.entry.weight / self.weights
-        return worker.sends.total(self.now) <= part * self.set.fall_us * rate
+        return worker.sends.total(self.now) <= part * rules.fall_us * rate
 
     def order(self, row: Row, worker: Worker, renew: bool = False) -> bool:
         """The one gate of every order to load: rules 3 and 5."""
@@ -345,7 +352,7 @@
 
     def send(self, call: Call, worker: Worker) -> None:
         row, copy, loads = call.row, call.row.copy(worker), not self.is_warm(call.row, worker)
-        if loads and self.set.loads_on_miss and not copy.loading_us and not self.presumed(row, worker):
+        if loads and call.rules.loads_on_miss and not copy.loading_us and not self.presumed(row, worker):
             self.load_begins(row, worker, ordered=False)
         attempt = Attempt(len(call.attempts), worker, self.now, loads)
         call.attempts.append(attempt)
@@ -353,7 +360,7 @@
         row.waiting.pop(call.id, None)
         for busy in (copy, row, worker): busy.busy += 1
         worker.sends.add(self.now, self.work.get(call.kind.name, row.service_us))
-        self.out.append(api.Send(call.id, worker.entry.worker, max(1, call.due_us - self.now)))
+        self.out.append(api.Send(call.id, worker.entry.worker, call.due_us - self.now, call.rules.epoch))
         patience_us = SILENT_SERVICES * self.expected(call) + (row.load_us if loads else 0)
         if self.now + patience_us < call.due_us:  # else over by then: a timer would only hold the call
             self.timer(patience_us, lambda: self.on_silent(call, attempt))
@@ -442,10 +449,10 @@
             self.suspect(call, attempt.worker, SICK_STEP)
             self.quiet(attempt)
         if self.retries < 1.0 or call.kind.effect is Effect.UNSAFE: return
-        if self.set.may_duplicate and len(call.outstanding()) < 2:
+        if call.rules.may_duplicate and len(call.outstanding()) < 2:
             self.retries -= 1.0
             self.route(call, second=True)
-        elif self.set.may_cancel and silent and not self.set.may_duplicate:
+        elif call.rules.may_cancel and silent and not call.rules.may_duplicate:
             self.out.append(api.Cancel(call.id, attempt.number))
 
     def unheard(self, attempt: Attempt, group: str = "") -> bool:
@@ -484,7 +491,7 @@
         if call is None or self.calls.pop(call.id, None) is None: return
         call.open = False
         call.row.waiting.pop(call.id, None)
-        if self.set.may_cancel and not call.streaming:
+        if call.rules.may_cancel and not call.streaming:
             self.out.extend(api.Cancel(call.id, a.number) for a in call.outstanding())
 
     def judge(self, call: Call, attempt: Attempt, event: api.AttemptEnded) -> None:
@@ -552,15 +559,3 @@
         seat = next(iter(self.ranked(row)), None)
         if seat is None or self.is_warm(row, seat) or row.copy(seat).loading_us or not self.may_load(): return
         self.order(row, seat)
-
-
-def aged(row: Row) -> int:
-    return row.gap_us - row.last_us  # (gap + now - last) / 2 in the paper; all rows age alike
-
-
-def digest(text: str) -> int:
-    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=BITS // 8).digest())
-
-
-def mixed(a: int, b: int) -> float:
-    return float(((a ^ b) * SPREADER % 2**BITS) / 2**BITS)
--- a/maplestile/interface.py
+++ b/maplestile/interface.py
@@ -107,6 +107,7 @@
     connect_timeout_us: int = 0
     max_open: int = 0
     tenants: tuple[str, ...] = ()
+    epoch: int = 0  # of the policy that these come from, where a fleet agrees on one
 
 
 @dataclass(slots=True, frozen=True)
@@ -183,6 +184,13 @@
     copies: int
 
 
+@dataclass(slots=True, frozen=True)
+class PolicyChanged:
+    """Calls that come from now on are decided by these settings; those in hand keep theirs."""
+
+    settings: Settings
+
+
 @dataclass(slots=True, frozen=True)
 class PeerMessage:
     peer: int
@@ -203,6 +211,7 @@
     | ProbeEnded
     | OrderEnded
     | PeerMessage
+    | PolicyChanged
     | TimerDue
 )
 
@@ -214,6 +223,7 @@
     call: int
     worker: str
     timeout_us: int
+    epoch: int = 0  # of the policy that the call is decided under
 
 
 @dataclass(slots=True, frozen=True)
--- a/maplestile/invoke/api.py
+++ b/maplestile/invoke/api.py
@@ -43,6 +43,12 @@
         self.bounds = self._bounds()
         return self.operator != old
 
+    def adopt(self, new: Operator) -> None:
+        """Another policy: classes and limits; it comes together with the module's."""
+        self.operator = replace(new, listen=self.operator.listen)
+        self.store.most, self.store.keep_us = new.records, new.record_us
+        self.bounds = self._bounds()
+
     def _bounds(self) -> Bounds:
         told, limits = self.operator, self.core.limits
         return Bounds(
--- a/maplestile/invoke/operator.py
+++ b/maplestile/invoke/operator.py
@@ -9,6 +9,8 @@
 from typing import Any
 
 from maplestile.peers.plan import PlanError, plan_from
+from maplestile.policy.document import Adopted, Tables
+from maplestile.policy.plan import PolicyPlan, plan_of
 from maplestile.table import ConfigError, Table
 
 SEMANTICS = {"safe": "free", "keyed": "guarded", "unsafe": "single_shot"}
@@ -49,20 +51,39 @@
     connections: int
     idle_s: float
     node: Mapping[str, Any] = field(hash=False)
+    policy: PolicyPlan | None = None  # where the fleet decides on it
+    epoch: int = 0
 
 
 def load(path: Path) -> Operator:
+    return from_tables(read(path))
+
+
+def read(path: Path) -> Tables:
+    """The tables of a file, unchecked."""
     try:
-        return parse(path.read_text(encoding="utf-8"))
-    except OSError as fault:
-        raise OperatorError(f"{path}: {fault.strerror}") from None
+        return tables_of(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as fault:
+        raise OperatorError(f"{path}: {getattr(fault, 'strerror', None) or fault}") from None
 
 
-def parse(text: str) -> Operator:
+def tables_of(text: str) -> Tables:
     try:
-        root = Table(tomllib.loads(text), "", OperatorError)
+        return tomllib.loads(text)
     except tomllib.TOMLDecodeError as fault:
         raise OperatorError(f"no TOML: {fault}") from None
+
+
+def parse(text: str) -> Operator:
+    return from_tables(tables_of(text))
+
+
+def from_tables(tables: Mapping[str, Any], adopted: Adopted | None = None) -> Operator:
+    """With the policy of that epoch in the place of the file's own."""
+    if adopted is not None and adopted.document is not None:
+        tables = adopted.document.over(tables)
+    policy, root = plan_of(tables), Table(tables, "", OperatorError)
+    root.values.pop("policy", None)
     name = str(root.values.pop("name", "maplestile"))
     invoke, limits, rules = root.table("invoke"), root.table("limits"), root.table("rules")
     platform, names, operation = root.table("platform"), root.table("names"), root.table("operation")
@@ -86,7 +107,8 @@
                 "machineMb": [kind[1] for kind in kinds], "answerWithinUs": 10_000_000,
             },
             "limits": {
-                "attemptsCap": rules.whole("attempts", 5, least=1), "cancelling": True, "mayDuplicate": True,
+                "attemptsCap": rules.whole("attempts", 5, least=1), "cancelling": True,
+                "mayDuplicate": rules.flag("second_copies", True),
                 "probes": True, "streamsPerConn": 32, "idleCloseUs": 15_000_000,
                 "connectTimeoutUs": int(rules.number("connect_timeout_ms", 250.0, least=1) * 1e3),
                 "maxOpen": limits.whole("open_requests", 2_000, least=1),
@@ -122,6 +144,8 @@
         connections=limits.whole("connections", 300, least=1),
         idle_s=limits.number("idle_s", 30.0, least=0.1),
         node=node,
+        policy=policy,
+        epoch=0 if adopted is None else adopted.epoch,
     )
     for table in (invoke, limits, rules, platform, names, operation, peers, root):
         table.end()
--- a/maplestile/limits.py
+++ b/maplestile/limits.py
@@ -41,6 +41,7 @@
     operator_connections: int = 16
     operator_request_us: int = 2_000_000
     operator_body_bytes: int = 1 * KB  # nothing there has a body of use
+    operator_policy_bytes: int = 18 * KB  # but a policy, where the fleet decides on it
     operator_linger_us: int = 200_000
     runners_known: int = 20_000  # ids once listed that are remembered: 2 MB at the most
     # Runners.
--- a/maplestile/model/rollout.py
+++ b/maplestile/model/rollout.py
@@ -34,8 +34,9 @@
 import simpy
 
 from maplestile.control.decide import Rules, Watcher, Word
-from maplestile.control.state import ACTIONS, ACTIVE, Control, Lease, Phase, Refusal, Stage, budget_of
+from maplestile.control.state import ACTIONS, ACTIVE, Control, Lease, Phase, Stage, budget_of
 from maplestile.faults.schedule import DURATION_MOST_S, ScheduleError
+from maplestile.refusal import Refusal
 from maplestile.table import Table
 
 LOOK_US, WORD_US = 50_000, 500_000  # as the steward looks and tells
--- a/maplestile/net/asked.py
+++ b/maplestile/net/asked.py
@@ -21,6 +21,7 @@
         self.plan, self.ask, self.counters = plan, ask, counters
         self.control = Control()
         self.words: Mapping[str, tuple[int, dict[str, Any]]] = {}
+        self.told: Mapping[str, tuple[float, dict[str, Any]]] = {}
         self.current = False
 
     def ready(self) -> bool:
@@ -52,6 +53,7 @@
                     raise LogError(told["error"])
                 control: dict[str, Any] = told["control"]
                 self.control, self.current = Control.of(control["state"]), bool(control["ready"])
+                self.told = {agent: (one[0], one[1]) for agent, one in control.get("told", {}).items()}
                 return control
             except (OSError, TimeoutError, ValueError, KeyError, TypeError, LogError) as fault:
                 faults.append(f"{address[0]}:{address[1]}: {fault or type(fault).__name__}")
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from maplestile.core import Core, Outcome
+from maplestile.interface import Settings
 from maplestile.limits import Limits
 from maplestile.net import reads
 from maplestile.net.listen import Listener, listen
@@ -55,6 +56,10 @@
         burst, queue = limits.accept_burst, limits.accept_queue
         return await listen(host, port, self._serve, limits.client_read_bytes, burst, queue, shared)
 
+    def adopt(self, settings: Settings) -> None:
+        """Another policy: other classes may be called."""
+        self.known = wire.Known.of(settings)
+
     def owes(self) -> bool:
         """Answers are given, and not all with the system yet."""
         return bool(self.closing) or self._unread() > 0
--- a/maplestile/net/raft.py
+++ b/maplestile/net/raft.py
@@ -39,6 +39,7 @@
     def __init__(self, me: TCPNode, others: list[TCPNode], conf: SyncObjConf) -> None:
         self.control = Control()
         self.words: dict[str, tuple[int, dict[str, Any]]] = {}  # the last word of each agent, and its number
+        self.told: dict[str, tuple[float, dict[str, Any]]] = {}  # when, by this machine's clock, and what
         super().__init__(me, others, conf)
 
     @replicated  # type: ignore[untyped-decorator]
@@ -47,6 +48,8 @@
             number, _ = self.words.get(command["agent"], (0, {}))
             self.words[command["agent"]] = number + 1, command["words"]
             return {"ok": True}
+        if "told" in command:  # likewise, of their policy
+            self.told[command["agent"]] = time.monotonic(), command["told"]
         return self.control.apply(command)
 
 
@@ -89,6 +92,11 @@
         words: dict[str, tuple[int, dict[str, Any]]] = self.replica.words
         return words
 
+    @property
+    def told(self) -> Mapping[str, tuple[float, dict[str, Any]]]:
+        now, told = time.monotonic(), self.replica.told
+        return {agent: (round(max(0.0, now - at), 1), one) for agent, (at, one) in told.items()}
+
     def ready(self) -> bool:
         """The replica holds what was agreed up to its start, and a leader is known."""
         return bool(self.replica.isReady())
--- a/maplestile/node.py
+++ b/maplestile/node.py
@@ -8,10 +8,10 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import replace
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from maplestile import logs
 from maplestile.config import Config, address, config_from
@@ -31,6 +31,8 @@
     from maplestile.net.http import Http
     from maplestile.net.peers import Peers
     from maplestile.operation.bans import Bans
+    from maplestile.policy.document import Adopted
+    from maplestile.policy.driver import Driver
 
 log = logging.getLogger("maplestile")
 SWEEP_S, DRAIN_LOOK_S = 1.0, 0.02
@@ -44,7 +46,9 @@
 class Node:
     """The parts of one function router, put together."""
 
-    def __init__(self, configure: Callable[[], Config], selector: StampedSelector) -> None:
+    def __init__(
+        self, configure: Callable[[], Config], selector: StampedSelector, policy: "Driver | None" = None
+    ) -> None:
         self.configure, self.config = configure, configure()
         self.name, self.limits, self.fleet = self.config.name, self.config.limits, self.config.fleet
         self.selector = selector
@@ -67,6 +71,12 @@
         self.handover: Handover | None = None
         self.current = False
         self.peers: Peers | None = None
+        self.policy = policy
+        if policy is not None:
+            policy.counters, policy.take, policy.calls = self.counters, self._take_policy, self.core.epochs
+            self.core.admits = policy.admits
+            if policy.plan.trace:
+                self.core.sent = policy.sent
 
     def _ready(self) -> bool:
         """To clients: the router serves, be it by the process that takes over."""
@@ -79,6 +89,8 @@
             return "it was asked to stop"
         if not self._list_is_current():
             return "the name server has not answered yet"
+        if self.policy is not None and (lacking := self.policy.lacking()):
+            return lacking
         if not self.listening:
             return "it does not listen yet"
         return "" if self.fleet.entries else "no runner is listed"
@@ -130,6 +142,10 @@
         if self.handover is not None:
             parts.append(self._start(self._follow(self.handover)))
             await self._succeed(self.handover)
+        if self.policy is not None:
+            parts.append(self._start(self.policy.run()))
+            while not (self.policy.admits() or self.stopping.is_set()):
+                await asyncio.sleep(DRAIN_LOOK_S)
         fronts = await self._listen()
         self.listening = True
         await self.stopping.wait()
@@ -193,6 +209,22 @@
             taken.append("invoke")
         return taken
 
+    def _take_policy(self, new: Config) -> None:
+        """An epoch of the fleet's: for the calls that come from now on, at the module and at the fronts."""
+        self.config = replace(self.config, settings=new.settings, limits=new.limits, operator=new.operator)
+        self._limit()
+        self.core.adopt(new.settings, self.limits)
+        if self.platform is not None:
+            self.platform.adopt(new.settings)
+        if self.api is not None and new.operator is not None:
+            self.api.adopt(new.operator)
+
+    def _limit(self) -> None:
+        """The budgets of this process, as the configuration and the processes beside it have them."""
+        self.limits = self.core.limits = self.runners.limits = self.config.limits.shared(self.live)
+        if self.platform is not None:
+            self.platform.limits = self.limits
+
     async def _listen(self) -> list[Listener]:
         fronts = list[Listener]()
         if self.config.listen is not None:
@@ -236,7 +268,7 @@
         desk = Desk(
             self.core, self.fleet, self.bans, lambda: self.runners.calls_written, self._lacking,
             lambda: None if self.peers is None else self.peers.members(),
-            lambda: {} if self.peers is None else self.peers.figures(),
+            lambda: {} if self.peers is None else self.peers.figures(), self.policy,
         )  # fmt: skip
         http = Http("operator", OperatorApi(desk, self.limits), self.counters, self._received)
         front = await http.start(*self.config.operation)
@@ -280,9 +312,7 @@
         if handover.live != self.live:
             self.live = handover.live
             log.info("%s: budgets for %d processes side by side", self.name, self.live)
-            self.limits = self.core.limits = self.runners.limits = self.config.limits.shared(self.live)
-            if self.platform is not None:
-                self.platform.limits = self.limits
+            self._limit()
 
     def _received(self) -> int:
         return self.selector.read_us
@@ -352,15 +382,31 @@
 
 def serve(file: Path) -> int:
     """One instance set up by an operator's file, with the invoke front."""
-    from maplestile.invoke.operator import load
+    from maplestile.invoke.operator import from_tables, read
+    from maplestile.policy.plan import plan_of
 
     seed = os.urandom(8).hex()
 
-    def configure() -> Config:
-        operator = load(file)
+    def build(tables: Mapping[str, Any], adopted: "Adopted | None" = None) -> Config:
+        operator = from_tables(tables, adopted)
         return config_from({**operator.node, "seed": seed}, operator)
 
-    return _run(configure)
+    driver: Driver | None = None
+    try:
+        tables = read(file)
+        if (plan := plan_of(tables)) is not None:
+            from maplestile.policy import driver as policy
+
+            driver = policy.Driver(plan, tables, build)
+    except ConfigError as fault:
+        print(f"maplestile: {fault}", file=sys.stderr)
+        return 1
+
+    def configure() -> Config:
+        tables = read(file)
+        return build(tables) if driver is None else driver.configure(tables)
+
+    return _run(configure, driver)
 
 
 def platform() -> int:
@@ -368,7 +414,7 @@
     return _run(read_config)
 
 
-def _run(configure: Callable[[], Config]) -> int:
+def _run(configure: Callable[[], Config], policy: "Driver | None" = None) -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until its handler stands; the default ends the program
     logs.start()
     try:
@@ -377,7 +423,7 @@
         with asyncio.Runner(loop_factory=lambda: loop) as runner:
 
             async def start() -> None:
-                await Node(configure, selector).run()
+                await Node(configure, selector, policy).run()
 
             runner.run(start())
     except (ConfigError, OSError) as fault:
--- a/maplestile/operation/api.py
+++ b/maplestile/operation/api.py
@@ -3,15 +3,20 @@
 import json
 import re
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 from urllib.parse import unquote
 
 from maplestile.limits import Limits
 from maplestile.operation import figures
+from maplestile.table import ConfigError
 from maplestile.wire.http import Bounds, HttpRequest, Refused, Response, allow, nothing, problem
 
+if TYPE_CHECKING:
+    from maplestile.policy.driver import Driver
+
 RUNNER = re.compile(r"/v1/runners/([^/]+)/(suspend|resume)")
 READY, METRICS, MEMBERS, RUNNERS = "/v1/readyz", "/v1/metrics", "/v1/members", "/v1/runners"
+POLICY, POLICY_CHECK = "/v1/policy", "/v1/policy/check"
 PLAIN = (("Content-Type", "text/plain; charset=utf-8"),)
 
 
@@ -24,6 +29,11 @@
 
     def figures(self) -> figures.Figures: ...
 
+    @property
+    def policy(self) -> "Driver | None":
+        """Its part in the fleet's policy; None where the file decides."""
+        ...
+
     def members(self) -> dict[str, Any] | None:
         """This instance's view of membership; None where membership is off."""
         ...
@@ -43,7 +53,8 @@
     def __init__(self, router: Router, limits: Limits) -> None:
         self.router, whole_us = router, limits.operator_request_us
         self.bounds = Bounds(
-            limits.operator_connections, whole_us / 1e6, whole_us, limits.operator_body_bytes,
+            limits.operator_connections, whole_us / 1e6, whole_us,
+            limits.operator_body_bytes if router.policy is None else limits.operator_policy_bytes,
             limits.operator_linger_us, limits.accept_burst, one_call=True,
         )  # fmt: skip
 
@@ -73,6 +84,8 @@
             allow(request, "GET")
             told = json.dumps({"runners": self.router.runners()})
             return Response(200, told.encode(), (("Content-Type", "application/json"),))
+        if path in (POLICY, POLICY_CHECK):
+            return self._policy(path, request)
         if (match := RUNNER.fullmatch(path)) is None:
             raise Refused(problem(404, "no such resource"))
         allow(request, "PUT")
@@ -84,3 +97,20 @@
         if not change(runner):
             raise Refused(problem(404, f"no runner '{runner}' was ever listed"))
         return Response(204)
+
+    def _policy(self, path: str, request: HttpRequest) -> Response:
+        """By the agent: what is committed, and whether a change would fit here."""
+        if (policy := self.router.policy) is None:
+            raise Refused(problem(404, "the policy is this router's own: no [policy] in its file"))
+        try:
+            if path == POLICY_CHECK:
+                allow(request, "POST")
+                told = policy.check(json.loads(request.body))
+            else:
+                allow(request, "GET", "PUT")
+                told = policy.view() if request.method == "GET" else policy.hear(json.loads(request.body))
+        except ValueError as fault:
+            raise Refused(problem(400, f"no JSON: {fault}")) from None
+        except ConfigError as fault:
+            raise Refused(problem(422, str(fault))) from None
+        return Response(200, json.dumps(told).encode(), (("Content-Type", "application/json"),))
--- a/maplestile/operation/desk.py
+++ b/maplestile/operation/desk.py
@@ -3,13 +3,16 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from maplestile.core import Core
 from maplestile.fleet import Fleet
 from maplestile.operation.bans import Bans
 from maplestile.operation.figures import Figures
 
+if TYPE_CHECKING:  # a router whose policy is its file's loads nothing of it
+    from maplestile.policy.driver import Driver
+
 
 @dataclass(slots=True, frozen=True)
 class Desk:
@@ -20,20 +23,24 @@
     lacking: Callable[[], str]
     view: Callable[[], dict[str, Any] | None]
     membership: Callable[[], dict[str, int]]  # empty where membership is off
+    policy: "Driver | None" = None  # where the fleet decides on it
 
     def ready(self) -> str:
         return self.lacking()
 
     def figures(self) -> Figures:
         listed = self.fleet.entries.keys()
+        served = sorted({name for name, _ in self.core.answers})  # also of classes that a policy took away
         return Figures(
-            classes=tuple(kind.name for kind in self.core.settings.classes),
+            classes=tuple(dict.fromkeys((*(k.name for k in self.core.settings.classes), *served))),
             answers=self.core.answers,
             backend_calls=self.backend_calls(),
             inflight=len(self.core.open),
             hosts_listed=len(listed),
             hosts_down=len(listed & (self.fleet.suspended | self.core.avoided())),
             membership=self.membership(),
+            policy={} if self.policy is None else self.policy.figures(),
+            epochs={} if self.policy is None else self.core.epochs,
         )
 
     def members(self) -> dict[str, Any] | None:
--- a/maplestile/operation/figures.py
+++ b/maplestile/operation/figures.py
@@ -24,6 +24,15 @@
     "duties_overlap": "Duties done here while the last agreed view gave them to another.",
 }
 
+POLICY = {
+    "epoch": ("gauge", "Epoch of the fleet's policy that new calls are decided under."),
+    "stale": ("gauge", "1 while this router is cut off, and its epoch may not be the last committed one."),
+    "stale_seconds": ("gauge", "For how long; 0 while it is not."),
+    "refused": ("gauge", "1 while this build or file refuses the committed epoch: no new call is taken."),
+    "reloads_refused_total": ("counter", "SIGHUPs whose file told another policy than at the start."),
+    "mixed_calls_total": ("counter", "Attempts decided under another epoch than their call; always 0."),
+}
+
 
 @dataclass(slots=True, frozen=True)
 class Figures:
@@ -36,6 +45,8 @@
     hosts_listed: int
     hosts_down: int
     membership: Mapping[str, int] = field(default_factory=dict)  # where routers know each other
+    policy: Mapping[str, float] = field(default_factory=dict)  # where the fleet decides on it
+    epochs: Mapping[int, Mapping[str, int]] = field(default_factory=dict)  # calls and attempts under each
 
 
 def text(figures: Figures) -> str:
@@ -56,10 +67,15 @@
         lines += _family(name, kind, told, [("", value)])
     for name, value in figures.membership.items():
         lines += _family(f"peers_{name}", "gauge", MEMBERSHIP[name], [("", value)])
+    for name, number in figures.policy.items():
+        lines += _family(f"policy_{name}", *POLICY[name], [("", number)])
+    for what in ("calls", "attempts") if figures.epochs else ():
+        samples = [(f'{{epoch="{epoch}"}}', told.get(what, 0)) for epoch, told in figures.epochs.items()]
+        lines += _family(f"policy_{what}_total", "counter", f"Decided under each epoch: {what}.", samples)
     return "\n".join(lines) + "\n"
 
 
-def _family(name: str, kind: str, told: str, samples: Iterable[tuple[str, int]]) -> list[str]:
+def _family(name: str, kind: str, told: str, samples: Iterable[tuple[str, float]]) -> list[str]:
     head = [f"# HELP {PREFIX}{name} {told}", f"# TYPE {PREFIX}{name} {kind}"]
     return head + [f"{PREFIX}{name}{labels} {value}" for labels, value in samples]
 
--- /dev/null
+++ b/maplestile/policy/driver.py
@@ -0,0 +1,189 @@
+"""A router's part in the fleet's policy, put to work: its record on disk, its configuration, its events.
+
+The decisions are `follow.Follower`'s. What is built here is built from the file's tables as they were last
+taken, so that an epoch brings in its policy and nothing that stands in the file unread."""
+
+import asyncio
+import logging
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from maplestile import __version__, logs
+from maplestile.config import Config
+from maplestile.core import AttemptId
+from maplestile.policy import store
+from maplestile.policy.document import Adopted, Document, PolicyError, Tables, digest_of, document_of
+from maplestile.policy.follow import NO_EPOCH, Follower, Standing, Step, Word
+from maplestile.policy.plan import PolicyPlan
+from maplestile.table import ConfigError
+
+log = logging.getLogger("maplestile.policy")
+TICK_S = 0.1
+LIVE = ("function", "tenant", "worker", "limits")  # tables of the file that a reload takes
+
+Build = Callable[[Tables, Adopted | None], Config]
+
+
+def monotonic_us() -> int:
+    return time.monotonic_ns() // 1000
+
+
+class Driver:
+    def __init__(self, plan: PolicyPlan, tables: Tables, build: Build) -> None:
+        """Raises PolicyError where the file's own policy has no form of use."""
+        self.plan, self.tables, self.build = plan, tables, build
+        self.base = Document.own(tables)  # in force until an epoch brings another
+        self.events = logs.events("policy")
+        # The router's, once it stands.
+        self.counters: Counter[str] = Counter()
+        self.take: Callable[[Config], None] = lambda config: None
+        self.calls: dict[int, Counter[str]] = {}  # by epoch
+        record = store.read(plan.folder)
+        self.document = None if record is None else record.document
+        self.follower = Follower(plan.rules, NO_EPOCH if record is None else record.epoch, monotonic_us())
+        self.standing = Standing.WAITING
+        self.begun = False
+
+    # The configuration.
+
+    def adopted(self) -> Adopted:
+        return Adopted(max(0, self.follower.epoch), self.document or self.base)
+
+    def configure(self, tables: Tables) -> Config:
+        """At the start, and at each reload: the file with the policy in force in the place of its own. Raises
+        ConfigError; then all stays as it was."""
+        if not self.begun:
+            return self._first()
+        config = self.build(tables, self.adopted())
+        if (pledge := self.follower.pledge) is not None:
+            try:  # it may be committed any moment, and this router has said that it fits
+                self.build(tables, Adopted(self.follower.epoch + 1, pledge.document or self.base))
+            except ConfigError as fault:
+                told = f"does not fit the policy that is being agreed on (change {pledge.change}): {fault}"
+                raise PolicyError(told) from None
+        if Document.own(tables) != self.base:
+            self.counters["policy.reloads_refused"] += 1
+            log.warning("policy: the file's policy has changed and is not taken: the fleet decides, "
+                        "and its epoch is %d; `maplestile policy propose`", self.follower.epoch)  # fmt: skip
+        self.tables = self.tables | {name: tables[name] for name in LIVE if name in tables}
+        return config
+
+    def _first(self) -> Config:
+        self.begun = True
+        if self.follower.epoch == NO_EPOCH:
+            return self.build(self.tables, None)
+        try:
+            return self.build(self.tables, self.adopted())
+        except ConfigError as fault:
+            log.error("policy: epoch %d does not fit this build or file: %s", self.follower.epoch, fault)
+            self.follower.refused(str(fault))
+        return self.build(self.tables, None)
+
+    # What the agent tells, on the operators' front.
+
+    def hear(self, told: object) -> dict[str, Any]:
+        """`{"epoch", "fenced_us", "checking"}`, with "document" if it comes along. Raises PolicyError."""
+        word = _word(told)
+        now = monotonic_us()
+        match self.follower.hear(word, now):
+            case Step.ADOPT:
+                self._adopt(word)
+            case Step.FETCH:
+                return {**self.view(), "fetch": True}
+            case Step.OLDER:
+                self.counters["policy.older"] += 1
+        self._note()
+        return self.view()
+
+    def _adopt(self, word: Word) -> None:
+        try:
+            config = self.build(self.tables, Adopted(word.epoch, word.document or self.base))
+            store.write(self.plan.folder, Adopted(word.epoch, word.document))
+        except (ConfigError, OSError) as fault:
+            self.counters["policy.refused"] += 1
+            log.error("policy: epoch %d is not taken, and so no new call: %s", word.epoch, fault)
+            self.follower.refused(str(fault))
+            return
+        self.document = word.document
+        self.take(config)
+        self.follower.adopted(word, monotonic_us())
+        self.counters["policy.adopted"] += 1
+        self.events.info("applied", epoch=word.epoch, digest=digest_of(word.document))
+
+    def check(self, told: object) -> dict[str, Any]:
+        """`{"change", "document"}`: whether it fits this build and file. Raises PolicyError, by field."""
+        change = _whole(told, "change")
+        document = document_of(told.get("document")) if isinstance(told, dict) else None
+        try:
+            self.build(self.tables, Adopted(max(0, self.follower.epoch) + 1, document or self.base))
+        except PolicyError:
+            raise
+        except ConfigError as fault:
+            raise PolicyError(str(fault)) from None
+        self.follower.promise(change, document)
+        self.events.info("checked", change=change, digest=digest_of(document))
+        return {"build": __version__}
+
+    # What others ask.
+
+    def admits(self) -> bool:
+        return self.follower.admits(monotonic_us())
+
+    def lacking(self) -> str:
+        """Why it takes no calls; empty if it does."""
+        if self.admits():
+            return ""
+        if self.follower.standing is Standing.REFUSED:
+            return f"the fleet's policy is refused here: {self.follower.reason}"
+        return "the fleet has not told its policy yet"
+
+    def view(self) -> dict[str, Any]:
+        follower, now = self.follower, monotonic_us()
+        follower.tick(now)
+        return {
+            "epoch": max(0, follower.epoch), "digest": digest_of(self.document),
+            "standing": follower.standing.value, "stale_s": round(follower.stale_us(now) / 1e6, 1),
+            "reason": follower.reason, "build": __version__,
+            "calls": {str(epoch): dict(counts) for epoch, counts in self.calls.items()},
+        }  # fmt: skip
+
+    def figures(self) -> dict[str, float]:
+        follower, now = self.follower, monotonic_us()
+        return {
+            "epoch": max(0, follower.epoch), "stale": int(follower.standing is Standing.STALE),
+            "stale_seconds": round(follower.stale_us(now) / 1e6, 1),
+            "refused": int(follower.standing is Standing.REFUSED),
+            "reloads_refused_total": self.counters["policy.reloads_refused"],
+            "mixed_calls_total": self.counters["policy.mixed_calls"],
+        }  # fmt: skip
+
+    def sent(self, attempt: AttemptId, epoch: int) -> None:
+        self.events.info("attempt", call=attempt[0], attempt=attempt[1], epoch=epoch)
+
+    async def run(self) -> None:
+        while True:
+            self.follower.tick(monotonic_us())
+            self._note()
+            await asyncio.sleep(TICK_S)
+
+    def _note(self) -> None:
+        follower = self.follower
+        if follower.standing is not self.standing:
+            before, self.standing = self.standing, follower.standing
+            told = {"epoch": max(0, follower.epoch), "before": before.value, "reason": follower.reason}
+            self.events.info(follower.standing.value, **told)
+
+
+def _word(told: object) -> Word:
+    epoch, fenced_us, checking = (_whole(told, name) for name in ("epoch", "fenced_us", "checking"))
+    assert isinstance(told, dict)  # it had its numbers
+    return Word(epoch, fenced_us, checking, "document" in told, document_of(told.get("document")))
+
+
+def _whole(told: object, name: str) -> int:
+    value = told.get(name) if isinstance(told, dict) else None
+    if type(value) is not int or value < 0:
+        raise PolicyError(f"{name}: must be a whole number")
+    return value
--- /dev/null
+++ b/maplestile/policy/follow.py
@@ -0,0 +1,133 @@
+"""One router's part: which epoch it decides by, and whether it may take new calls. Free of I/O.
+
+    WAITING --heard what is committed--> CURRENT <--heard again-- STALE
+       |                                    +--nothing heard for `stale_us`--> STALE
+       +--nothing heard for `wait_us`, and an epoch is on record--> STALE
+    any --stood still for `pause_us`, as a stopped process does--> WAITING
+    any --its build or file refuses what is committed--> REFUSED --heard one that fits--> CURRENT
+
+A router that starts, or that stood still, may have missed a commit, so it takes no new calls until its agent
+tells what was committed after that moment. One that merely hears nothing is cut off, and serves with the last
+epoch it knows: all of its epochs were committed. It never goes back.
+
+Times are microseconds of the machine's monotonic clock, which its agent shares."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from maplestile.policy.document import Document
+
+NO_EPOCH = -1  # nothing on record
+
+
+class Standing(Enum):
+    WAITING = "waiting"
+    CURRENT = "current"
+    STALE = "stale"
+    REFUSED = "refused"
+
+
+class Step(Enum):
+    """What the driver has to do about a word."""
+
+    NOTHING = "nothing"
+    ADOPT = "adopt"
+    FETCH = "fetch"  # the document did not come along
+    OLDER = "older"  # an epoch before the one in force: it came late, and changes nothing
+
+
+@dataclass(slots=True, frozen=True)
+class Rules:
+    stale_us: int = 5_000_000
+    wait_us: int = 10_000_000
+    pause_us: int = 2_000_000  # an agent hears nothing of a router for so long: to the leader it is absent
+
+
+@dataclass(slots=True, frozen=True)
+class Word:
+    """What the agent tells: at `fenced_us` or later this epoch was the committed one."""
+
+    epoch: int
+    fenced_us: int
+    checking: int = 0  # the change that is being checked; 0 for none
+    whole: bool = False  # the document came along
+    document: Document | None = None  # None, if whole: the file's own
+
+
+@dataclass(slots=True, frozen=True)
+class Pledge:
+    """A change that was found to fit, and may be committed any moment: nothing may make it unfit."""
+
+    change: int
+    document: Document | None
+
+
+@dataclass(slots=True)
+class Follower:
+    rules: Rules
+    epoch: int  # on record, or NO_EPOCH
+    since_us: int  # since when it may have missed a commit: its start, or the end of a standstill
+    ticked_us: int = field(init=False)
+    confirmed_us: int = 0  # the last moment at which its epoch is known to have been the committed one
+    standing: Standing = Standing.WAITING
+    reason: str = ""  # of a refusal
+    pledge: Pledge | None = None
+    pauses: int = 0
+
+    def __post_init__(self) -> None:
+        self.ticked_us = self.since_us
+
+    def tick(self, now_us: int) -> None:
+        """Called now and then, and before anything is decided."""
+        gap_us, self.ticked_us = now_us - self.ticked_us, now_us
+        if gap_us > self.rules.pause_us:
+            self.since_us, self.pauses = now_us, self.pauses + 1
+            if self.standing in (Standing.CURRENT, Standing.STALE):
+                self.standing = Standing.WAITING
+        if self.standing is Standing.CURRENT and now_us - self.confirmed_us > self.rules.stale_us:
+            self.standing = Standing.STALE
+        waited = now_us - self.since_us > self.rules.wait_us
+        if self.standing is Standing.WAITING and waited and self.epoch != NO_EPOCH:
+            self.standing = Standing.STALE
+
+    def admits(self, now_us: int) -> bool:
+        """Whether new calls are taken."""
+        self.tick(now_us)
+        return self.standing in (Standing.CURRENT, Standing.STALE)
+
+    def stale_us(self, now_us: int) -> int:
+        """For how long its epoch has not been known to be the committed one; 0 while it is."""
+        return now_us - (self.confirmed_us or self.since_us) if self.standing is Standing.STALE else 0
+
+    def promise(self, change: int, document: Document | None) -> None:
+        """The driver has found that the change fits this build and file."""
+        self.pledge = Pledge(change, document)
+
+    def hear(self, word: Word, now_us: int) -> Step:
+        self.tick(now_us)
+        if word.epoch < self.epoch:
+            return Step.OLDER
+        if self.pledge is not None and word.checking != self.pledge.change:
+            self.pledge = None  # decided; if it was committed the document comes with its epoch
+        if word.epoch > self.epoch:
+            return Step.ADOPT if word.whole else Step.FETCH
+        if self.standing is Standing.REFUSED:  # its own epoch, on record, that its file or build refused
+            return Step.ADOPT if word.whole else Step.FETCH
+        self._confirm(word, now_us)
+        return Step.NOTHING
+
+    def adopted(self, word: Word, now_us: int) -> None:
+        """The driver has put the word's epoch on record and in force."""
+        self.epoch, self.reason = word.epoch, ""
+        if self.standing is Standing.REFUSED:
+            self.standing = Standing.WAITING
+        self._confirm(word, now_us)
+
+    def refused(self, reason: str) -> None:
+        """This build or file refuses what is committed: it decides no new call by anything else."""
+        self.standing, self.reason = Standing.REFUSED, reason
+
+    def _confirm(self, word: Word, now_us: int) -> None:
+        if word.fenced_us < self.since_us or now_us - word.fenced_us > self.rules.stale_us:
+            return  # what was committed since then is not known
+        self.confirmed_us, self.standing = max(self.confirmed_us, word.fenced_us), Standing.CURRENT
--- a/maplestile/state.py
+++ b/maplestile/state.py
@@ -3,7 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from maplestile.interface import CallClass, Result, WorkerEntry
+from maplestile.interface import CallClass, Result, Settings, WorkerEntry
 
 NOWHERE, SINGLE, MULTIPLE, CACHING = -1, 0, 1, 2  # the place of a row: the three lists in their order
 
@@ -107,6 +107,9 @@
     def listed(self) -> bool:
         return self.place != NOWHERE
 
+    def aged(self) -> int:
+        return self.gap_us - self.last_us  # (gap + now - last) / 2 in the paper; all rows age alike
+
     def copy(self, worker: Worker) -> Copy:
         copy = worker.copies.get(self.function)
         if copy is None:
@@ -122,6 +125,7 @@
     group: str
     since_us: int
     due_us: int
+    rules: Settings  # those of the policy that it came under: no later one changes them
     hint_us: int = 0  # at its work; 0 where none came
     attempts: list[Attempt] = field(default_factory=list)
     open: bool = True
--- a/maplestile/steward.py
+++ b/maplestile/steward.py
@@ -27,6 +27,11 @@
     def control(self) -> Control: ...
     @property
     def words(self) -> Mapping[str, tuple[int, dict[str, Any]]]: ...
+    @property
+    def told(self) -> Mapping[str, tuple[float, dict[str, Any]]]:
+        """Of each agent: how many seconds ago it was heard, and what its routers say of their policy."""
+        ...
+
     def ready(self) -> bool: ...
     def status(self) -> dict[str, Any]: ...
     async def run(self) -> None: ...
@@ -318,7 +323,7 @@
                 told["reply"] = await self.plane.submit(command)
         except LogError as fault:
             return {"error": str(fault)}
-        return {"control": told | {"state": self.plane.control.told()}}
+        return {"control": told | {"state": self.plane.control.told(), "told": dict(self.plane.told)}}
 
     # Operators.
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -195,12 +195,18 @@
     Members of the relay: routers 0 to 5, then agents 6 to 8. A router's UDP socket has its own port, so that
     it is the same after a restart."""
 
-    def __init__(self, test: unittest.TestCase, step_s: float = 30.0, toy: bool = False) -> None:
-        """With `toy` the runner w2 is a process of the first agent, else a stand-in of this one."""
+    def __init__(
+        self, test: unittest.TestCase, step_s: float = 30.0, toy: bool = False, routers: int = AGENTS * EACH,
+        policy: str = "", older: str = "",
+    ) -> None:  # fmt: skip
+        """With `toy` the runner w2 is a process of the first agent, else a stand-in of this one. `policy` are
+        more lines of the routers' `[policy]`, which they have none of without; `older` is a folder with
+        another build of the program, which the last router runs."""
+        self.policy, self.older = policy, older
         self.test, self.folder = test, Path(tempfile.mkdtemp())
         self.workers = [Worker(), Worker()]
         self.relay = Relay(test, AGENTS * EACH + AGENTS)
-        self.names = [f"r{n}" for n in range(AGENTS * EACH)]
+        self.names = [f"r{n}" for n in range(routers)]
         ports = free_ports(2 * AGENTS + 3 * len(self.names) + 1)
         self.toy, self.runner_ports = toy, [worker.port for worker in self.workers]
         if toy:
@@ -227,6 +233,9 @@
         seeds = ", ".join(f'"{front}"' for front in self.relay.fronts[: len(self.names)])
         peers = PEERS.format(advertise=self.relay.fronts[n], seeds=seeds)
         peers = peers.replace('listen = "127.0.0.1:0"', f'listen = "127.0.0.1:{self.udp[n]}"')
+        if self.policy:
+            folder = self.folder / f"policy{n}"
+            peers += f'[policy]\nfolder = "{folder}"\n{self.policy}'
         (self.folder / f"r{n}.toml").write_text(text + peers)
 
     def start(self, number: int) -> Program:
@@ -240,6 +249,8 @@
                 text += f'reach = "{reach}"\n'
         for name in self.of(number):
             text += f'[[instance]]\nname = "{name}"\nfile = "{name}.toml"\n'
+            if self.older and name == self.names[-1]:
+                text += f'env = {{ PYTHONPATH = "{self.older}", PYTHONSAFEPATH = "1" }}\n'
         if self.toy and not number:
             toy = [sys.executable, str(ROOT / "examples" / "toy_worker.py")]
             command = json.dumps([*toy, "--port", str(self.runner_ports[1])])
@@ -256,6 +267,7 @@
         text = (self.folder / "r0.toml").read_text().replace('name = "r0"', 'name = "r6"')
         for old, new in ((self.invoke[0], invoke), (self.operator[0], operator), (self.udp[0], udp)):
             text = text.replace(f"127.0.0.1:{old}", f"127.0.0.1:{new}")
+        text = text.replace(str(self.folder / "policy0"), str(self.folder / "policy6"))
         (self.folder / "r6.toml").write_text(text.replace(self.relay.fronts[0], f"127.0.0.1:{udp}", 1))
         ask = ", ".join(f'"127.0.0.1:{port}"' for port in self.listens)
         file = self.folder / "asker.toml"
@@ -343,7 +355,8 @@
 
     def _alive(self, number: int) -> bool:
         rows = [line.split("\t") for line in self.run(number, "members")[1].splitlines()[1:]]
-        return sum(cell.startswith("alive") for row in rows for cell in row) == EACH * len(self.names)
+        cells = len(self.of(number)) * len(self.names)
+        return sum(cell.startswith("alive") for row in rows for cell in row) == cells
 
     def until_phase(self, number: int, phase: str) -> None:
         try:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -9,7 +9,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from maplestile.control.decide import Rules, Watcher, Word
-from maplestile.control.state import ACTIVE, Control, Phase, Refusal, Stage, budget_of
+from maplestile.control.state import ACTIVE, Control, Phase, Stage, budget_of
+from maplestile.refusal import Refusal
 
 S = 1_000_000
 NAMES = [f"r{n}" for n in range(5)]
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -554,7 +554,7 @@
         ([Attempt(0, worker, now, True), Attempt(1, worker, now, False, api.Result.OK)], True),
     ):
         dispatcher.late = 0.0
-        call = Call(2, row, dispatcher.classes["safe"], "safe ", now, now, 0, attempts)
+        call = Call(2, row, dispatcher.classes["safe"], "safe ", now, now, dispatcher.set, 0, attempts)
         worker.heard_us[""] = now + 1  # it is not silent
         dispatcher.learn_late(call, True)
         assert (dispatcher.late > 0) == counts
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -8,8 +8,8 @@
 
 ROOT = Path(__file__).parent.parent
 MODULE = ROOT / "maplestile" / "decide.py"
-ALLOWED = {"maplestile", "maplestile.interface", "maplestile.state", "collections.abc", "hashlib"}
-ALLOWED |= {"math", "random"}  # random is seeded with the dispatcher's own seed
+ALLOWED = {"maplestile", "maplestile.interface", "maplestile.state", "collections.abc"}
+ALLOWED |= {"math", "random", "maplestile.hashing"}  # random is seeded with the dispatcher's own seed
 
 
 def test_module_stays_short() -> None:
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -17,6 +17,7 @@
 from maplestile.operation.bans import Bans
 from maplestile.operation.folder import Locks, Markers
 from maplestile.operation.handover import Handover, Stage
+from maplestile.policy.driver import Driver as PolicyDriver
 from maplestile.wire.http import HttpRequest, Response
 from tests.helpers import Driver, arrival, ended, entry, fleet, sends, settings
 from tests.standins import target
@@ -30,6 +31,7 @@
 
     def __init__(self) -> None:
         self.lacking, self.calls = "", list[str]()
+        self.policy: PolicyDriver | None = None
 
     def ready(self) -> str:
         return self.lacking
--- /dev/null
+++ b/tests/test_process_policy.py
@@ -0,0 +1,342 @@
+"""Changes of policy by three voting agents with five real routers, through the fault relay, calls flowing."""
+
+import asyncio
+import contextlib
+import json
+import os
+import re
+import shutil
+import signal
+import tempfile
+import threading
+import time
+import tomllib
+import unittest
+from collections import defaultdict
+from pathlib import Path
+from typing import Any
+
+from maplestile.agent import ask
+from tests.fleet import AGENTS, EACH, FOREVER, Fleet
+from tests.standins import PATIENCE_S, ROOT, eventually
+from tests.test_process_rollout import Calls
+
+ROUTERS = 5
+POLICY = "stale_s = 2\nwait_s = 4\ntrace = true\n"
+BOUND_S = 5.0  # from a commit until every live, connected router has applied it; on an idle machine 0.3 s
+NODES = AGENTS * EACH  # of the relay, before the agents
+
+
+class PolicyFleet(Fleet):
+    """And what the checker reads: the events of all processes, those that have ended among them."""
+
+    def __init__(self, test: unittest.TestCase, **more: Any) -> None:
+        super().__init__(test, routers=ROUTERS, policy=POLICY, **more)
+        self.ended: list[str] = []
+
+    def file(self, **rules: Any) -> Path:
+        """A policy: that of the routers' own files, with other rules."""
+        own = (self.folder / "r0.toml").read_text()
+        classes = "".join(f"[[class]]{part.split('[[')[0]}" for part in own.split("[[class]]")[1:])
+        file = self.folder / f"policy-{len(list(self.folder.glob('policy-*')))}.toml"
+        lines = "".join(f"{name} = {json.dumps(value)}\n" for name, value in rules.items())
+        file.write_text(f"[rules]\nkeep_s = 9.7\n{lines}{classes}")
+        return file
+
+    def propose(self, number: int, *words: str, **rules: Any) -> tuple[int, str, str]:
+        return self.run(number, "policy", "propose", str(self.file(**rules)), *words)
+
+    def told(self, number: int) -> dict[str, Any]:
+        """The policy as this agent sees it; {} while it cannot tell."""
+        told: dict[str, Any] = self.command(number, "policy", "status")[0]
+        return told
+
+    def epochs(self, number: int) -> dict[str, Any]:
+        """The epoch of every instance, by what this agent knows."""
+        return {name: told.get("epoch") for name, told in self.told(number).get("instances", {}).items()}
+
+    def all_at(self, number: int, epoch: int, names: list[str] | None = None) -> bool:
+        epochs = self.epochs(number)
+        return all(epochs.get(name) == epoch for name in names or self.names)
+
+    def until_all_at(self, number: int, epoch: int, names: list[str] | None = None) -> None:
+        try:
+            eventually(lambda: self.all_at(number, epoch, names), f"epoch {epoch} everywhere")
+        except AssertionError:
+            raise AssertionError(f"waited in vain for epoch {epoch}: {self.told(number)}") from None
+
+    def events_of(self, *names: str) -> list[tuple[str, dict[str, Any]]]:
+        """The events of these names, with the instance or agent that logged each, in order of time."""
+        found = []
+        for number, program in enumerate(self.agents):
+            for line in [*list(program.log), *self.ended]:
+                match = re.match(r"(?:\[(\w+)\] )?(\{.*\"t_us\".*)", line)
+                if match is not None and (told := json.loads(match[2]))["event"] in names:
+                    found.append((match[1] or f"a{number}", told))
+        return sorted(found, key=lambda one: one[1]["t_us"])
+
+    def figure(self, name: str, figure: str) -> float:
+        number = int(name[1:]) // EACH
+        for line in self.run(number, "figures", name)[1].splitlines():
+            if line.startswith(f"svc_{figure} "):
+                return float(line.rpartition(" ")[2])
+        return -1
+
+
+class PolicyTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = self.made()
+        self.fleet.until_whole()
+        self.fleet.until_all_at(0, 0)
+
+    def made(self) -> PolicyFleet:
+        return PolicyFleet(self)
+
+    def agreed(self, result: tuple[int, str, str]) -> None:
+        code, out, err = result
+        self.assertEqual((code, err), (0, ""), out)
+
+    def check(self, calls: Calls | None = None, least: float = 0.9) -> None:
+        """The checker: what the logs of all processes have to show, whatever has failed."""
+        fleet = self.fleet
+        committed = {0: 0} | {told["epoch"]: told["t_us"] for _, told in fleet.events_of("commit")}
+        self.assertEqual(sorted(committed), list(range(len(committed))))
+        last: dict[str, int] = defaultdict(int)
+        for name, told in fleet.events_of("applied"):
+            self.assertIn(told["epoch"], committed, f"{name} applied what was never committed")
+            self.assertGreaterEqual(told["epoch"], last[name], f"{name} went back")
+            last[name] = told["epoch"]
+        # By what was logged, not by what the logger believes: the epochs of one call's attempts.
+        epochs: dict[tuple[str, int, int], set[int]] = defaultdict(set)
+        lives: dict[str, int] = defaultdict(int)
+        for name, told in fleet.events_of("attempt", "current"):
+            if told["event"] == "current" and told["before"] == "waiting":
+                lives[name] += 1  # perhaps another process, whose calls are numbered anew
+            elif told["event"] == "attempt":
+                epochs[name, lives[name], told["call"]].add(told["epoch"])
+        self.assertEqual([key for key, seen in epochs.items() if len(seen) > 1], [])
+        mixed = [fleet.figure(name, "policy_mixed_calls_total") for name in fleet.names]
+        self.assertLessEqual(max(mixed), 0, mixed)
+        if calls is not None:
+            result = calls.result()
+            self.assertLessEqual(set(result["ends"]), {"served", "refused", "nowhere"}, result)
+            self.assertGreater(result["served_share"], least, result)
+            self.assertGreater(len(epochs), 20)
+
+    def bound(self, names: list[str]) -> None:
+        """Every one of these, live and connected, applied each committed epoch within the bound."""
+        applied = {(name, told["epoch"]): told["t_us"] for name, told in self.fleet.events_of("applied")}
+        for _, told in self.fleet.events_of("commit"):
+            for name in names:
+                took_s = (applied[name, told["epoch"]] - told["t_us"]) / 1e6
+                self.assertLess(took_s, BOUND_S, f"{name}, epoch {told['epoch']}")
+
+    def agents(self, *besides: int) -> list[int]:
+        return [n for n in range(AGENTS) if n not in besides]
+
+    def leader(self) -> int:
+        return int(eventually(lambda: [n for n in [self.fleet.leader()] if n is not None], "a leader")[0])
+
+
+class ChangeTest(PolicyTest):
+    def test_a_change_takes_hold_on_all_under_load_and_is_rolled_back(self) -> None:
+        calls = Calls(self.fleet, 8)
+        eventually(lambda: len(self.fleet.events_of("attempt")) > 20, "calls")
+        self.agreed(self.fleet.propose(0, attempts=3))
+        self.fleet.until_all_at(1, 1)
+        self.agreed(self.fleet.run(2, "policy", "rollback"))
+        self.fleet.until_all_at(0, 2)
+        self.assertEqual(self.fleet.told(0)["agreed"]["epochs"][-1]["document"], None)
+        self.bound(self.fleet.names)
+        self.check(calls)
+        seen = {told["epoch"] for _, told in self.fleet.events_of("attempt")}
+        self.assertEqual(seen, {0, 1, 2})
+        for words, reason in (
+            (("rollback", "--to", "9"), "there is no epoch 9 to go back to: 0, 1 kept"),
+            (("rollback", "--base", "1"), "made on epoch 1, and the epoch is 2"),
+        ):
+            code, _, err = self.fleet.run(0, "policy", *words)
+            self.assertEqual((code, reason in err), (1, True), err)
+        code, _, err = self.fleet.propose(0, attempts=0)
+        self.assertEqual((code, "rules.attempts: must be 1 or more" in err), (2, True), err)
+        out = self.fleet.run(0, "policy", "status")[1]
+        self.assertIn("epoch 2: the files' own, of epoch 0 again", out)
+        self.assertEqual(out.count("\tcurrent\t"), ROUTERS, out)
+
+    def test_a_sighup_amid_a_change_takes_the_files_other_settings_and_none_of_its_policy(self) -> None:
+        calls = Calls(self.fleet, 8)
+        file = self.fleet.folder / "r0.toml"
+        told = file.read_text().replace("[rules]", "[rules]\nattempts = 1").replace("1000", "900")
+        file.write_text(told.replace("open_most = 400", "open_most = 399"))
+        pid = self.fleet.pid("r0")
+        changes = [threading.Thread(target=self.fleet.propose, args=(1,), kwargs={"attempts": 3 + n})
+                   for n in range(2)]  # fmt: skip
+        for change in changes:
+            change.start()
+            for _ in range(10):
+                os.kill(pid, signal.SIGHUP)
+                time.sleep(0.05)
+            change.join(PATIENCE_S)
+        self.fleet.until_all_at(0, 2)
+        self.assertGreaterEqual(self.fleet.figure("r0", "policy_reloads_refused_total"), 2)
+        reply = self.fleet.command(0, "reload", "r0")[0]["reload"]["r0"]
+        self.assertEqual((reply["ok"], reply["restart"]), (True, []))
+        warned = [line for line in self.fleet.agents[0].log if "the file's policy has changed" in line]
+        self.assertTrue(warned)
+        self.assertEqual(self.attempts_cap("r0"), 4)
+        self.assertEqual(self.tenant_limit_taken(), True)
+        self.bound(self.fleet.names)
+        self.check(calls)
+
+    def attempts_cap(self, name: str) -> int:
+        """Of the policy in force there, as its record has it."""
+        record = json.loads((self.fleet.folder / f"policy{name[1:]}" / "policy.json").read_bytes())
+        return int(record["body"]["document"]["rules"]["attempts"])
+
+    def tenant_limit_taken(self) -> bool:
+        return any("reloaded; taken: " in line and "invoke" in line for line in self.fleet.agents[0].log)
+
+    def test_a_router_that_was_down_and_one_that_stood_still_learn_it_before_they_take_calls(self) -> None:
+        calls = Calls(self.fleet, 16)
+        down, still = "r1", "r4"
+        self.assertEqual(self.fleet.run(0, "stop", down)[0], 0)
+        pid = self.fleet.pid(still)
+        os.kill(pid, signal.SIGSTOP)
+        try:
+            # One that was let serve just before it stood still is waited for, and the change given up.
+            out = eventually(lambda: self.fleet.propose(0, attempts=3)[1], "the change")
+            self.assertIn("not there, and to learn it on return: r1, r4", out)
+            resumed_us = time.monotonic_ns() // 1000
+        finally:
+            os.kill(pid, signal.SIGCONT)
+        self.assertEqual(self.fleet.run(0, "restart", down)[0], 0)
+        self.fleet.until_all_at(2, 1)
+        eventually(lambda: self.fleet.run(0, "ready", down)[0] == 0, "r1 ready")
+        self.bound(["r0", "r2", "r3"])
+        result = calls.result()
+        self.assertGreater(result["served_share"], 0.6, result)  # a fifth of the fronts stood still
+        self.check()
+        known = {told["call"] for name, told in self.fleet.events_of("attempt")
+                 if name == still and told["t_us"] < resumed_us}  # fmt: skip
+        back = [told for name, told in self.fleet.events_of("attempt")
+                if name in (down, still) and told["t_us"] > resumed_us]  # fmt: skip
+        new = [told["epoch"] for told in back if told["call"] not in known or told["epoch"]]
+        self.assertEqual(set(new), {1})
+
+
+class FaultTest(PolicyTest):
+    def test_a_minority_cut_off_serves_by_the_old_epoch_says_so_and_learns_it_at_the_healing(self) -> None:
+        leader = self.leader()
+        others = self.agents(leader)
+        mine, theirs = self.fleet.of(leader), [n for number in others for n in self.fleet.of(number)]
+        calls = Calls(self.fleet, 18)
+        small = [*(int(name[1:]) for name in mine), NODES + leader]  # with the leader on the small side
+        self.fleet.relay.begin(split=[{**FOREVER, "sides": [small]}])
+        eventually(lambda: self.fleet.leader(others) is not None, "a leader on the large side")
+        eventually(lambda: self.fleet.propose(others[0], attempts=3)[0] == 0, "the change")
+        self.fleet.until_all_at(others[1], 1, theirs)
+        eventually(lambda: all(self.fleet.figure(name, "policy_stale") == 1 for name in mine), "stale")
+        for name in mine:
+            self.assertEqual(self.fleet.figure(name, "policy_epoch"), 0)
+            self.assertGreater(self.fleet.figure(name, "policy_stale_seconds"), 1.9)
+        code, _, err = self.fleet.propose(leader, attempts=4)
+        self.assertEqual((code, "it was not taken" in err), (1, True), err)
+        self.fleet.relay.ask("heal")
+        self.fleet.until_all_at(leader, 1)
+        eventually(lambda: all(self.fleet.figure(name, "policy_stale") == 0 for name in mine), "current")
+        self.bound(theirs)
+        self.check(calls)
+
+    def test_a_leader_lost_between_check_and_commit_leaves_it_everywhere_or_nowhere(self) -> None:
+        leader = self.leader()
+        others = self.agents(leader)
+        theirs = [n for number in others for n in self.fleet.of(number)]
+        calls = Calls(self.fleet, 10)
+        still = theirs[0]
+        pid = self.fleet.pid(still)
+        os.kill(pid, signal.SIGSTOP)  # so that the check takes three seconds
+        try:
+            self.agreed(self.fleet.propose(others[0], "--no-wait", attempts=3))
+            eventually(lambda: len(self.fleet.events_of("verdict")) >= ROUTERS - 1, "the other verdicts")
+            self.assertEqual(self.fleet.events_of("commit"), [])
+            lost = self.fleet.agents[leader]
+            routers = self.fleet.routers_of(lost)
+            lost.process.kill()
+            for one in routers:  # a whole machine
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(one, signal.SIGKILL)
+            lost.process.wait()
+        finally:
+            os.kill(pid, signal.SIGCONT)
+        change: dict[str, Any] = eventually(lambda: self.decided(others[0]), "an end of the change")
+        epoch = int(change["phase"] == "committed")
+        self.fleet.until_all_at(others[1], epoch, theirs)
+        log = list(lost.log)
+        self.fleet.agents[leader] = self.fleet.start(leader)
+        self.fleet.agents[leader].log[:0] = log
+        self.fleet.until_all_at(leader, epoch)
+        self.bound(theirs)
+        calls.result()  # those in hand at the lost machine are lost by nature
+        self.check()
+
+    def decided(self, number: int) -> dict[str, Any] | None:
+        change = (self.fleet.told(number).get("agreed") or {}).get("change")
+        return change if change is not None and change["phase"] != "checking" else None
+
+    def test_a_fifth_of_all_messages_lost_delays_a_change_and_breaks_nothing(self) -> None:
+        calls = Calls(self.fleet, 12)
+        self.fleet.relay.begin(net={"loss": 0.2})
+        eventually(lambda: self.fleet.propose(1, attempts=3)[0] == 0, "a commit", 60.0)
+        self.fleet.relay.ask("heal")
+        self.fleet.until_all_at(0, 1)
+        self.check(calls)
+
+
+class OlderTest(PolicyTest):
+    """The last router runs a build that does not know one of the settings."""
+
+    def made(self) -> PolicyFleet:
+        folder = Path(tempfile.mkdtemp())
+        shutil.copytree(ROOT / "maplestile", folder / "maplestile")
+        file, told = folder / "maplestile" / "invoke" / "operator.py", 'rules.flag("second_copies", True)'
+        self.assertIn(told, file.read_text())
+        file.write_text(file.read_text().replace(told, "True"))
+        return PolicyFleet(self, older=str(folder))
+
+    def test_it_refuses_what_it_does_not_know_and_nobody_takes_it(self) -> None:
+        calls = Calls(self.fleet, 10)
+        code, _, err = self.fleet.propose(0, second_copies=False)
+        reason = "r4 refuses it: rules.second_copies: is not known here"
+        self.assertEqual((code, reason in err), (1, True), err)
+        eventually(lambda: reason in self.fleet.run(2, "policy", "status")[1], "the reason at another agent")
+        self.assertEqual(self.fleet.events_of("applied", "commit")[ROUTERS:], [])
+        codes = list[int]()
+
+        def propose(number: int) -> None:
+            codes.append(self.asked(number, {"rules": {"attempts": 3 + number}}))
+
+        both = [threading.Thread(target=propose, args=(number,)) for number in (0, 2)]
+        for one in both:
+            one.start()
+        for one in both:
+            one.join(PATIENCE_S)
+        self.assertEqual(sorted(codes), [0, 1])  # of two at once one wins
+        self.fleet.until_all_at(1, 1)
+        _, listen = self.fleet.asker()  # an agent without a vote, whose router joins late
+        eventually(lambda: self.fleet.epochs(3).get("r6") == 1, "the epoch at r6")
+        self.assertEqual(listen, self.fleet.listens[3])
+        self.agreed(self.fleet.propose(3, attempts=2))
+        self.fleet.until_all_at(0, 2, [*self.fleet.names, "r6"])
+        self.bound(self.fleet.names)
+        self.check(calls)
+
+    def asked(self, number: int, document: dict[str, Any]) -> int:
+        """0 for a proposal that was taken up; made on epoch 0, whatever stands by then."""
+        own = tomllib.loads((self.fleet.folder / "r0.toml").read_text())
+        command = {"document": {**document, "class": own["class"]}, "base": 0}
+        where = "127.0.0.1", self.fleet.listens[number]
+        return int("error" in asyncio.run(ask(where, "policy", [], what="propose", command=command)))
+
+
+if __name__ == "__main__":
+    unittest.main()
