Play every order of events of small cases on the shipped module, core and pool

Need: one final answer, and no second run where a class forbids it, rested on sampled tests. Change: the lives of calls, attempts and connections are types with tables and one function that moves them (states.py); the pool is a state machine without sockets (pool.py), which net/runners.py drives; explore/ plays all orders of events on module, core and pool on a virtual clock, judges twelve properties by what the workers truly have, shrinks what it finds, and replays it at the real program on sockets.

Found: a keyed call was judged at the decision, and written up to 250 ms later when its connection came up, after its worker may have forgotten its key. Send now tells until when it may be written, and the pool keeps to it. Each property has a deliberate fault that the explorer finds (13 faults, 1 to 7 events); without them all cases hold as far as they were played. The policy's record is now written off the loop.

--- a/maplestile/cli.py
+++ b/maplestile/cli.py
@@ -11,6 +11,7 @@
 from maplestile import agent, logs, traces
 from maplestile.config import address
 from maplestile.control.state import ACTIONS
+from maplestile.explore import command as exploring
 from maplestile.faults.schedule import ScheduleError
 from maplestile.invoke.operator import OperatorError, load, read
 from maplestile.policy import command
@@ -69,6 +70,7 @@
         one.add_argument("--agent", default=DEFAULT_AGENT, metavar="HOST:PORT")
         one.add_argument("--json", action="store_true", help="print the agent's whole answer")
     command.add(commands, DEFAULT_AGENT)
+    exploring.add(commands)
     model = commands.add_parser("model", help="run an experiment of the membership protocol on the model")
     model.add_argument("file", type=Path)
     model.add_argument("--format", choices=("json", "csv"), default="json")
@@ -126,6 +128,8 @@
                 return _model(asked)
             case "relay":
                 return _relay(asked)
+            case "explore":
+                return exploring.run(asked)
             case "policy":
                 return command.run(asked, _agent_says)
             case "rollout":
--- a/maplestile/core.py
+++ b/maplestile/core.py
@@ -15,6 +15,7 @@
 from maplestile.decide import Dispatcher
 from maplestile.interface import NEVER_RAN, Result
 from maplestile.limits import Limits
+from maplestile.states import Call, Move
 
 log = logging.getLogger(__name__)
 AttemptId = tuple[int, int]
@@ -62,7 +63,12 @@
 class Pool(Protocol):
     """What the core needs of the workers' side; ends come back through the core's `*_ended` methods."""
 
-    def send(self, attempt: AttemptId, worker: str, request: Request, wait_us: int) -> None: ...
+    def send(
+        self, attempt: AttemptId, worker: str, request: Request, wait_us: int, until_us: int
+    ) -> None:
+        """Write it as soon as that can be, but from `until_us` on (if over 0) no more: it ends as MOOT."""
+        ...
+
     def cancel(self, attempt: AttemptId) -> None: ...
     def order(self, tag: int, worker: str, function: str, copies: int) -> None: ...
     def unload(self, worker: str, function: str) -> None: ...
@@ -78,6 +84,7 @@
     request: Request
     due_us: int
     answer: Callable[[Outcome], None]
+    state: Call = Call.OWED
     attempts: int = 0
     ran: bool = False
     epoch: int = 0  # of the policy that it was taken under
@@ -109,6 +116,7 @@
     counters: Counter[str] = field(default_factory=Counter)
     answers: Counter[tuple[str, Verdict]] = field(default_factory=Counter)  # by class
     dispatcher: Dispatcher = field(init=False)
+    move: Move = field(init=False)
     # Where routers know each other: whether a probe of the module's goes out from here, and how any ended.
     may_probe: Callable[[str], bool] = lambda worker: True
     probed: Callable[[str, Result], None] = lambda worker, result: None
@@ -130,7 +138,7 @@
     leave_us: int = 0  # when the process ends while another one serves; 0 if it stays
 
     def __post_init__(self) -> None:
-        self.dispatcher = Dispatcher(self.settings, self.seed)
+        self.dispatcher, self.move = Dispatcher(self.settings, self.seed), Move(self.counters)
         self.decided = self.epochs.setdefault(self.settings.epoch, Counter())
 
     def adopt(self, settings: api.Settings, limits: Limits) -> None:
@@ -177,6 +185,7 @@
     def withdraw(self, call: int) -> None:
         """The client waits no longer: nothing is owed, and what is out is called off by the module."""
         if (owed := self.open.pop(call, None)) is not None:
+            self.move.call(owed, Call.WITHDRAWN)
             self.open_bytes -= owed.request.bytes()
             self.counters["requests.withdrawn"] += 1
             self.give(api.CallExpired(call))
@@ -333,7 +342,7 @@
         if self.sent is not None:
             self.sent(attempt, action.epoch)
         self.at(now + max(0, wait_us), lambda: self._timed_out(attempt))
-        self.pool.send(attempt, action.worker, call.request, max(1, wait_us))
+        self.pool.send(attempt, action.worker, call.request, max(1, wait_us), action.until_us)
 
     def _timed_out(self, attempt: AttemptId) -> None:
         if attempt in self.flights:
@@ -373,6 +382,7 @@
         """The one way to a final answer; a second one for the same call goes nowhere."""
         owed = self.open.pop(call, None)
         if owed is not None:
+            self.move.call(owed, Call.ANSWERED)
             self.open_bytes -= owed.request.bytes()
             self.answers[owed.request.class_name, outcome.verdict] += 1
             owed.answer(outcome)
--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -305,7 +305,7 @@
 
     def repeatable(self, call: Call, worker: Worker) -> bool:
         """Rule 1: where a call that went out before may ever go again."""
-        ran = [a for a in call.attempts if a.result not in NEVER_RAN]
+        ran = call.ran()
         met = [a.result for a in call.attempts if a.worker is worker and a.result not in ELSEWHERE]
         tried = met and met != [Result.RESET]  # a connection that broke says little of the worker
         if tried or len(call.attempts) >= call.rules.max_attempts or not self.running(worker): return False
@@ -314,9 +314,8 @@
     def drops(self, call: Call, ran: list[Attempt], entry: api.WorkerEntry) -> bool:
         """A keyed call goes again only where its repeats are dropped, and only while they are remembered."""
         kind, first = call.kind, ran[0].worker.entry
-        kept = kind.effect is Effect.KEYED and self.now + call.rules.tick_us < ran[0].sent_us + kind.window_us
         same = first.zone == entry.zone if kind.scope is Scope.ZONE else first.cell == entry.cell
-        return kept and (same or kind.scope is Scope.ALL)
+        return self.now + call.rules.tick_us < call.kept_us() and (same or kind.scope is Scope.ALL)
 
     def ramp_allows(self, worker: Worker, call: Call) -> bool:
         """Rule 4 for the fleet: each dispatcher lets a random part of its calls through, and no more than its
@@ -354,13 +353,14 @@
         row, copy, loads = call.row, call.row.copy(worker), not self.is_warm(call.row, worker)
         if loads and call.rules.loads_on_miss and not copy.loading_us and not self.presumed(row, worker):
             self.load_begins(row, worker, ordered=False)
+        left_us, kept_us = call.due_us - self.now, call.kept_us()
         attempt = Attempt(len(call.attempts), worker, self.now, loads)
         call.attempts.append(attempt)
         self.attempts[call.id, attempt.number] = (call, attempt)
         row.waiting.pop(call.id, None)
         for busy in (copy, row, worker): busy.busy += 1
         worker.sends.add(self.now, self.work.get(call.kind.name, row.service_us))
-        self.out.append(api.Send(call.id, worker.entry.worker, call.due_us - self.now, call.rules.epoch))
+        self.out.append(api.Send(call.id, worker.entry.worker, left_us, call.rules.epoch, kept_us))
         patience_us = SILENT_SERVICES * self.expected(call) + (row.load_us if loads else 0)
         if self.now + patience_us < call.due_us:  # else over by then: a timer would only hold the call
             self.timer(patience_us, lambda: self.on_silent(call, attempt))
@@ -420,8 +420,8 @@
 
     def again(self, call: Call, result: Result) -> None:
         """A further attempt, out of the retry budget; an unsafe call that may have run is at its end."""
-        ran = any(a.result not in NEVER_RAN for a in call.attempts)
-        if (call.kind.effect is Effect.UNSAFE and ran) or call.row.errors >= UNKNOWN_ERRORS: self.finish(call)
+        unsafe, unknown = call.kind.effect is Effect.UNSAFE, call.row.errors >= UNKNOWN_ERRORS
+        if unsafe and call.ran() or unknown: self.finish(call)
         elif result is Result.MISS or self.retries < 1.0: self.hold(call)
         else:
             self.retries -= 1.0
--- /dev/null
+++ b/maplestile/explore/fingerprint.py
@@ -0,0 +1,156 @@
+"""A state of the world as a digest: two states with one digest go on alike.
+
+Times are told from now, names of calls by the order in which they came, workers by their rank for the
+function that all calls are of (so that two that are alike but for their names are one), timers by what they
+would do. Left out is what no decision reads: counters, tokens, and timers that would do nothing."""
+
+import hashlib
+from collections.abc import Callable, Iterable
+from dataclasses import fields, is_dataclass
+from enum import Enum
+from typing import Any
+
+from maplestile.core import Core, Errand, Flight, Open
+from maplestile.decide import Dispatcher
+from maplestile.explore.world import START, Link, World
+from maplestile.pool import Connection, Message, Pool, Runner
+from maplestile.state import Attempt, Call, Copy, Row, Window, Worker, Zone
+
+FAR_US = 20_000_000  # what is older, or further off, is told as this: longer than any rule of a case looks
+# Parts that are told elsewhere, or that no decision reads.
+SKIP = {
+    Core: {"settings", "limits", "seed", "pool", "clock", "alarm", "counters", "answers", "dispatcher",
+           "move", "may_probe", "probed", "admits", "sent", "epochs", "decided", "timers", "ticks", "number",
+           "armed", "events", "acting"},
+    Dispatcher: {"set", "out", "classes", "random", "salt", "timers", "token", "now", "memory", "version"},
+    Row: {"salt", "ranking", "version"}, Worker: {"salt"}, Call: {"rules", "kind"},
+    Pool: {"limits", "clock", "counters", "move", "core", "world", "calls_written"},
+    Runner: {"connections"}, Message: {"line"},
+}  # fmt: skip
+
+
+class Reader:
+    def __init__(self, world: World) -> None:
+        self.world, self.now = world, world.now
+        module = world.core.dispatcher
+        row = module.rows.get("f")
+        rank = [worker.entry.worker for worker in row.ranking] if row is not None else []
+        names = [*rank, *(name for name in sorted(world.process) if name not in rank)]
+        self.ranks = {name: f"#{number}" for number, name in enumerate(names)}
+        self.calls = {client.number: f"call {n}" for n, client in enumerate(world.clients)}
+        self.links = {id(link.connection): f"link {link.number}" for link in world.links}
+
+    def digest(self) -> bytes:
+        world, module = self.world, self.world.core.dispatcher
+        told = (
+            self.fields(world.core, Core), self.fields(module, Dispatcher), self.fields(world.pool, Pool),
+            [self.link(link) for link in world.links if link.open],
+            [(one.class_name, self.of(one.due_us), len(one.outcomes), one.left) for one in world.clients],
+            [(self.of(name), self.of(us)) for name, us in sorted(world.told_us.items())],
+            [(self.of(name), state.value) for name, state in sorted(world.state.items())],
+            [(line.told["call"], self.of(line.link.worker), line.never_ran, self.of(line.at_us))
+             for line in sorted(world.arrivals, key=lambda line: str(line.told["call"]))],
+            self.timers(), world.faults, world.steps, world.stopped, len(world.problems),
+        )  # fmt: skip
+        return hashlib.blake2b(repr(told).encode(), digest_size=12).digest()
+
+    def of(self, value: Any) -> Any:
+        """Anything, by what it is; things that have a life of their own by their names."""
+        match value:
+            case None | bool() | bytes():
+                return value
+            case int():
+                if value < START // 2:
+                    return self.calls.get(value, value)
+                return "t", max(-FAR_US, min(FAR_US, value - self.now))
+            case float():
+                return round(value, 6)
+            case str():
+                return self.ranks.get(value, value)
+            case Enum():
+                return value.value
+            case Connection():
+                return self.links[id(value)]
+            case Worker():
+                return "worker", self.ranks.get(value.entry.worker), self.of(value.entry.started_us)
+            case Row():
+                return "row", value.function
+            case Call():
+                return "call", self.calls.get(value.id), value.open
+            case Attempt():
+                return "attempt", value.number, self.of(value.worker), self.of(value.result)
+            case Window():
+                return self.of(list(value.amounts)), self.of(value.sum)
+            case dict():
+                return sorted(((self.of(key), self.inside(one)) for key, one in value.items()), key=repr)
+            case set() | frozenset():
+                return sorted((self.of(one) for one in value), key=repr)
+            case _ if isinstance(value, Iterable):
+                return [self.inside(one) for one in value]
+            case _ if is_dataclass(value):
+                return self.fields(value, type(value))
+        return type(value).__name__
+
+    def inside(self, value: Any) -> Any:
+        """A part of a collection: the collections are where each thing is told whole, once."""
+        if isinstance(value, Row | Worker | Call | Copy | Zone | Open | Flight | Errand | Runner | Message):
+            return self.fields(value, type(value))
+        return self.of(value)
+
+    def fields(self, value: Any, kind: type) -> list[Any]:
+        names = [f.name for f in fields(value)] if is_dataclass(value) else sorted(vars(value))
+        skipped = SKIP.get(kind, set())
+        return [(name, self.of(getattr(value, name))) for name in names if name not in skipped]
+
+    def link(self, link: Link) -> Any:
+        connection = link.connection
+        state = [(name, self.of(value)) for name, value in self.parts(connection)]
+        lines = [(line.told["kind"], line.told["call"], line.answers) for line in link.lines]
+        return link.number, self.of(link.worker), link.part, link.held, lines, state
+
+    def parts(self, connection: Connection) -> list[tuple[str, Any]]:
+        told = [f.name for f in fields(connection) if f.name not in ("runner", "socket", "partial", "queue")]
+        parts = [(name, getattr(connection, name)) for name in told]
+        queue = [self.inside(message) for message in connection.queue]
+        partial = None if connection.partial is None else self.inside(connection.partial)
+        return [*parts, ("up", connection.socket is not None), ("queue", queue), ("partial", partial)]
+
+    # Timers.
+
+    def timers(self) -> list[Any]:
+        core, found = self.world.core, []
+        for tick, actions in core.timers.items():
+            due = self.of(tick * core.settings.tick_us)
+            found += [(due, told) for then in actions if (told := self.timer(then)) is not None]
+        return sorted(found, key=repr)
+
+    def timer(self, then: Callable[[], object]) -> Any:
+        """What it would do; None if nothing."""
+        core = self.world.core
+        name, cells = then.__qualname__, dict(_cells(then))
+        if "token" in cells:
+            inner = core.dispatcher.timers.get(cells["token"])
+            return None if inner is None else self.timer(inner)
+        for cell in cells.values():
+            if isinstance(cell, Call) and not cell.open:
+                return None
+            if isinstance(cell, Attempt) and cell.result is not None:
+                return None
+        if name.startswith("Core.submit") and cells.get("call") not in core.open:
+            return None
+        if name.startswith("Core._send") and cells.get("attempt") not in core.flights:
+            return None
+        if name.startswith("Core._errand") and cells.get("tag") not in core.errands:
+            return None
+        return name, sorted((key, self.of(one)) for key, one in cells.items() if key not in ("self", "ended"))
+
+
+def _cells(then: Callable[[], object]) -> Iterable[tuple[str, Any]]:
+    code, closure = getattr(then, "__code__", None), getattr(then, "__closure__", None)
+    if code is None or closure is None:
+        return ()
+    return zip(code.co_freevars, (cell.cell_contents for cell in closure), strict=True)
+
+
+def digest(world: World) -> bytes:
+    return Reader(world).digest()
--- a/maplestile/interface.py
+++ b/maplestile/interface.py
@@ -224,6 +224,7 @@
     worker: str
     timeout_us: int
     epoch: int = 0  # of the policy that the call is decided under
+    until_us: int = 0  # not to be written from then on, if over 0: workers forget the call's key
 
 
 @dataclass(slots=True, frozen=True)
--- a/maplestile/node.py
+++ b/maplestile/node.py
@@ -143,6 +143,9 @@
             parts.append(self._start(self._follow(self.handover)))
             await self._succeed(self.handover)
         if self.policy is not None:
+            from maplestile.policy.driver import in_thread
+
+            self.policy.elsewhere = in_thread
             parts.append(self._start(self.policy.run()))
             while not (self.policy.admits() or self.stopping.is_set()):
                 await asyncio.sleep(DRAIN_LOOK_S)
--- a/maplestile/operation/api.py
+++ b/maplestile/operation/api.py
@@ -60,13 +60,19 @@
 
     def handle(self, request: HttpRequest, respond: Callable[[Response], None]) -> Callable[[], None]:
         try:
-            respond(self._answer(request))
+            self._answer(request, respond)
         except Refused as refused:
             respond(refused.response)
         return nothing
 
-    def _answer(self, request: HttpRequest) -> Response:
+    def _answer(self, request: HttpRequest, respond: Callable[[Response], None]) -> None:
         path = request.path.partition("?")[0]
+        if path in (POLICY, POLICY_CHECK):
+            self._policy(path, request, respond)
+        else:
+            respond(self._plain(path, request))
+
+    def _plain(self, path: str, request: HttpRequest) -> Response:
         if path == READY:
             allow(request, "GET")
             lacking = self.router.ready()
@@ -84,8 +90,6 @@
             allow(request, "GET")
             told = json.dumps({"runners": self.router.runners()})
             return Response(200, told.encode(), (("Content-Type", "application/json"),))
-        if path in (POLICY, POLICY_CHECK):
-            return self._policy(path, request)
         if (match := RUNNER.fullmatch(path)) is None:
             raise Refused(problem(404, "no such resource"))
         allow(request, "PUT")
@@ -98,19 +102,24 @@
             raise Refused(problem(404, f"no runner '{runner}' was ever listed"))
         return Response(204)
 
-    def _policy(self, path: str, request: HttpRequest) -> Response:
+    def _policy(self, path: str, request: HttpRequest, respond: Callable[[Response], None]) -> None:
         """By the agent: what is committed, and whether a change would fit here."""
         if (policy := self.router.policy) is None:
             raise Refused(problem(404, "the policy is this router's own: no [policy] in its file"))
+
+        def told(what: dict[str, Any]) -> None:
+            respond(Response(200, json.dumps(what).encode(), (("Content-Type", "application/json"),)))
+
         try:
             if path == POLICY_CHECK:
                 allow(request, "POST")
-                told = policy.check(json.loads(request.body))
+                told(policy.check(json.loads(request.body)))
+            elif request.method == "PUT":
+                policy.hear(json.loads(request.body), told)
             else:
                 allow(request, "GET", "PUT")
-                told = policy.view() if request.method == "GET" else policy.hear(json.loads(request.body))
+                told(policy.view())
         except ValueError as fault:
             raise Refused(problem(400, f"no JSON: {fault}")) from None
         except ConfigError as fault:
             raise Refused(problem(422, str(fault))) from None
-        return Response(200, json.dumps(told).encode(), (("Content-Type", "application/json"),))
--- a/maplestile/policy/driver.py
+++ b/maplestile/policy/driver.py
@@ -25,6 +25,23 @@
 
 Build = Callable[[Tables, Adopted | None], Config]
 
+# Do the one off the loop, then the other on it, with how the first has failed, if it has.
+Elsewhere = Callable[[Callable[[], None], Callable[[BaseException | None], None]], None]
+
+
+def at_once(job: Callable[[], None], then: Callable[[BaseException | None], None]) -> None:
+    try:
+        job()
+    except OSError as fault:
+        then(fault)
+    else:
+        then(None)
+
+
+def in_thread(job: Callable[[], None], then: Callable[[BaseException | None], None]) -> None:
+    done = asyncio.get_running_loop().run_in_executor(None, job)
+    done.add_done_callback(lambda ended: then(ended.exception()))
+
 
 def monotonic_us() -> int:
     return time.monotonic_ns() // 1000
@@ -40,6 +57,8 @@
         self.counters: Counter[str] = Counter()
         self.take: Callable[[Config], None] = lambda config: None
         self.calls: dict[int, Counter[str]] = {}  # by epoch
+        self.elsewhere: Elsewhere = at_once
+        self.writing = False
         record = store.read(plan.folder)
         self.document = None if record is None else record.document
         self.follower = Follower(plan.rules, NO_EPOCH if record is None else record.epoch, monotonic_us())
@@ -83,35 +102,59 @@
 
     # What the agent tells, on the operators' front.
 
-    def hear(self, told: object) -> dict[str, Any]:
-        """`{"epoch", "fenced_us", "checking"}`, with "document" if it comes along. Raises PolicyError."""
+    def hear(self, told: object, reply: Callable[[dict[str, Any]], None]) -> None:
+        """`{"epoch", "fenced_us", "checking"}`, with "document" if it comes along; the answer may come later.
+        Raises PolicyError."""
         word = _word(told)
-        now = monotonic_us()
-        match self.follower.hear(word, now):
-            case Step.ADOPT:
-                self._adopt(word)
-            case Step.FETCH:
-                return {**self.view(), "fetch": True}
-            case Step.OLDER:
-                self.counters["policy.older"] += 1
+        step = self.follower.hear(word, monotonic_us())
+        if step is Step.ADOPT and not self.writing:
+            self._adopt(word, reply)
+            return
+        if step is Step.OLDER:
+            self.counters["policy.older"] += 1
         self._note()
-        return self.view()
+        reply(self.view() | ({"fetch": True} if step is Step.FETCH else {}))
+
+    def _adopt(self, word: Word, reply: Callable[[dict[str, Any]], None]) -> None:
+        """On record first, off the loop, since a disk may take its time; then in force."""
+        adopted = Adopted(word.epoch, word.document)
+
+        def written(fault: BaseException | None) -> None:
+            self.writing = False
+            try:
+                if fault is not None:
+                    raise fault
+                config = self._built(adopted)  # anew: a reload may have come meanwhile
+            except (ConfigError, OSError) as cause:
+                self._refuse(word.epoch, cause)
+            else:
+                self._take(word, config)
+            self._note()
+            reply(self.view())
 
-    def _adopt(self, word: Word) -> None:
         try:
-            config = self.build(self.tables, Adopted(word.epoch, word.document or self.base))
-            store.write(self.plan.folder, Adopted(word.epoch, word.document))
-        except (ConfigError, OSError) as fault:
-            self.counters["policy.refused"] += 1
-            log.error("policy: epoch %d is not taken, and so no new call: %s", word.epoch, fault)
-            self.follower.refused(str(fault))
+            self._built(adopted)
+        except ConfigError as fault:
+            written(fault)
             return
+        self.writing = True
+        self.elsewhere(lambda: store.write(self.plan.folder, adopted), written)
+
+    def _built(self, adopted: Adopted) -> Config:
+        return self.build(self.tables, Adopted(adopted.epoch, adopted.document or self.base))
+
+    def _take(self, word: Word, config: Config) -> None:
         self.document = word.document
         self.take(config)
         self.follower.adopted(word, monotonic_us())
         self.counters["policy.adopted"] += 1
         self.events.info("applied", epoch=word.epoch, digest=digest_of(word.document))
 
+    def _refuse(self, epoch: int, fault: Exception) -> None:
+        self.counters["policy.refused"] += 1
+        log.error("policy: epoch %d is not taken, and so no new call: %s", epoch, fault)
+        self.follower.refused(str(fault))
+
     def check(self, told: object) -> dict[str, Any]:
         """`{"change", "document"}`: whether it fits this build and file. Raises PolicyError, by field."""
         change = _whole(told, "change")
--- a/maplestile/state.py
+++ b/maplestile/state.py
@@ -3,7 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from maplestile.interface import CallClass, Result, Settings, WorkerEntry
+from maplestile.interface import NEVER_RAN, CallClass, Effect, Result, Settings, WorkerEntry
 
 NOWHERE, SINGLE, MULTIPLE, CACHING = -1, 0, 1, 2  # the place of a row: the three lists in their order
 
@@ -131,5 +131,14 @@
     open: bool = True
     streaming: bool = False
 
+    def ran(self) -> list[Attempt]:
+        """Those that may have run."""
+        return [a for a in self.attempts if a.result not in NEVER_RAN]
+
+    def kept_us(self) -> int:
+        """Until when workers surely drop repeats of a keyed call that may have run; 0 for any other."""
+        ran = self.ran() if self.kind.effect is Effect.KEYED else []
+        return ran[0].sent_us + self.kind.window_us if ran else 0
+
     def outstanding(self) -> list[Attempt]:
         return [a for a in self.attempts if a.result is None]
--- /dev/null
+++ b/tests/faulty.py
@@ -0,0 +1,121 @@
+"""Parts with a small, deliberate fault each, by the property that it breaks and the case that shows it."""
+
+from dataclasses import replace
+from typing import Any
+
+from maplestile import interface as api
+from maplestile.core import AttemptId, Core, Outcome
+from maplestile.decide import Dispatcher
+from maplestile.explore.world import Parts, Yard
+from maplestile.fleet import Fleet
+from maplestile.interface import Result
+from maplestile.state import Attempt, Call, Worker
+from maplestile.states import Attempt as Life
+from maplestile.wire.runner import Answer
+
+
+class AnswersTwice(Core):
+    def _finish(self, call: int, outcome: Outcome) -> None:  # the popping left out
+        owed = self.open.get(call)
+        super()._finish(call, outcome)
+        if owed is not None and outcome.ran:
+            self.open[call] = owed
+
+
+class KeepsFailuresBack(Core):
+    def _fail(self, call: int) -> None: ...
+
+
+class SendsAnythingAgain(Dispatcher):
+    def repeatable(self, call: Call, worker: Worker) -> bool:  # the unsafe check left out
+        return len(call.attempts) < call.rules.max_attempts and self.running(worker)
+
+    def again(self, call: Call, result: Result) -> None:
+        self.route(call)
+
+
+class ForgetsTheScope(Dispatcher):
+    def drops(self, call: Call, ran: list[Attempt], entry: api.WorkerEntry) -> bool:
+        return call.kind.effect is api.Effect.KEYED
+
+
+class ForgetsTheWindow(Dispatcher):
+    def send(self, call: Call, worker: Worker) -> None:  # as it was before: judged at the decision alone
+        super().send(call, worker)
+        self.out[:] = [replace(one, until_us=0) if isinstance(one, api.Send) else one for one in self.out]
+
+
+class WritesToDraining(Yard):
+    def update(self, fleet: Fleet) -> None:
+        super().update(fleet)
+        for runner in self.runners.values():
+            runner.takes_new = True
+
+
+class CountsNoAttempts(Dispatcher):
+    def repeatable(self, call: Call, worker: Worker) -> bool:
+        return self.running(worker)
+
+
+class RefusesAnything(Dispatcher):
+    def may_refuse(self, call: Call) -> bool:
+        return True
+
+
+class LeavesCounts(Dispatcher):
+    def on_ended(self, event: api.AttemptEnded) -> None:
+        if event.result is Result.CANCELLED:
+            self.attempts.pop((event.call, event.attempt), None)
+        else:
+            super().on_ended(event)
+
+
+class KeepsBytes(Core):
+    def withdraw(self, call: int) -> None:
+        owed = self.open.get(call)
+        super().withdraw(call)
+        if owed is not None:
+            self.open_bytes += owed.request.bytes()
+
+
+class StaysOn(Core):
+    def submit(self, *asked: Any) -> int:
+        leave_us, self.leave_us = self.leave_us, 0
+        try:
+            return super().submit(*asked)
+        finally:
+            self.leave_us = leave_us
+
+
+class CallsOffLater(Yard):
+    def cancel(self, attempt: AttemptId) -> None:
+        found = self.where.get(attempt)
+        super().cancel(attempt)
+        if found is not None and found[1].state is Life.CALLED_OFF:
+            self.where[attempt] = found
+            found[0].open[found[1].tag] = attempt
+
+
+class KnowsEverybody(Yard):
+    def answered(self, connection: Any, answer: Answer) -> None:
+        if answer.call not in connection.open and answer.call not in connection.errands:
+            raise KeyError(answer.call)
+        super().answered(connection, answer)
+
+
+FAULTS: tuple[tuple[str, str, Parts], ...] = (
+    ("one-answer", "safe", Parts(core=AnswersTwice)),
+    ("answer-by-deadline", "unsafe", Parts(core=KeepsFailuresBack)),
+    ("unsafe-once", "unsafe", Parts(module=SendsAnythingAgain)),
+    ("keyed-in-scope", "keyed-cell", Parts(module=ForgetsTheScope)),
+    ("keyed-in-scope", "keyed-all", Parts(module=ForgetsTheWindow)),
+    ("nothing-after-drain", "drain", Parts(pool=WritesToDraining)),
+    ("attempt-limit", "safe", Parts(module=CountsNoAttempts)),
+    ("harmless-refusal", "unsafe", Parts(module=RefusesAnything)),
+    ("counts-return", "late", Parts(module=LeavesCounts)),
+    ("nothing-kept", "late", Parts(core=KeepsBytes)),
+    ("drain-ends", "stop", Parts(core=StaysOn)),
+    ("no-forbidden-move", "late", Parts(pool=CallsOffLater)),
+    ("no-crash", "late", Parts(pool=KnowsEverybody)),
+)
+
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -31,7 +31,9 @@
     def _alarm(self, due_us: int) -> None:
         self.due = due_us
 
-    def send(self, attempt: AttemptId, worker: str, request: Request, wait_us: int) -> None:
+    def send(
+        self, attempt: AttemptId, worker: str, request: Request, wait_us: int, until_us: int
+    ) -> None:
         self.sent.append(attempt)
 
     def cancel(self, attempt: AttemptId) -> None:
--- /dev/null
+++ b/tests/test_explore.py
@@ -0,0 +1,184 @@
+"""The explorer: small cases hold, deliberate faults are found, and what it finds replays, also on sockets."""
+
+import contextlib
+import io
+import json
+import os
+import shutil
+import tempfile
+import unittest.mock
+from pathlib import Path
+
+import pytest
+from hypothesis import settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from maplestile.cli import main
+from maplestile.explore import fingerprint, properties, sockets
+from maplestile.explore.cases import CASES, SMALL, Case, CaseError, Event, Example, read
+from maplestile.explore.search import explore, play
+from maplestile.explore.world import SHIPPED, Parts, World
+from tests.faulty import FAULTS, ForgetsTheWindow
+from tests.standins import ROOT
+
+CLASSES = ("safe", "unsafe", "keyed-all", "keyed-zone", "keyed-cell")
+FOUND = ROOT / "examples" / "explore"  # counterexamples of the past: each holds now
+
+
+@pytest.mark.parametrize(("name", "case", "parts"), FAULTS, ids=[one[0] for one in FAULTS])
+def test_a_deliberate_fault_is_found_and_shrunk_to_what_it_needs(name: str, case: str, parts: Parts) -> None:
+    report = explore(CASES[case], depth=7, parts=parts)
+    example = report.example
+    assert example is not None and example.property == name
+    for at in range(len(example.events)):  # no event is there without need
+        fewer = example.events[:at] + example.events[at + 1 :]
+        assert name not in dict(play(CASES[case], fewer, parts).problems)
+    assert not play(CASES[case], example.events).problems  # the shipped parts hold
+    assert name in properties.NAMES and set(properties.NAMES) == {one for one, _, _ in FAULTS}
+
+
+@pytest.mark.parametrize("name", SMALL)
+def test_small_cases_hold(name: str) -> None:
+    report = explore(CASES[name], depth=SMALL[name])
+    assert report.example is None, report.told()
+    assert report.visited > 500
+
+
+def test_a_case_is_explored_to_its_end_or_says_that_it_was_not() -> None:
+    small = Case("small", "", ("unsafe",), ("error", "reset"), 1, workers=1, quiet=4)
+    whole = explore(small)
+    assert whole.complete and whole.example is None and whole.visited > 20
+    for cut in (explore(small, depth=4), explore(small, states=10), explore(small, seconds=1e-9)):
+        assert not cut.complete and cut.visited < whole.visited
+    assert explore(small, depth=whole.depth + 1).complete
+
+
+def test_states_that_differ_in_names_alone_are_one_and_others_are_not() -> None:
+    def after(*events: Event) -> bytes:
+        world = World(CASES["two-unsafe"])
+        for event in events:
+            world.play(event)
+        return fingerprint.digest(world)
+
+    assert after(("submit",), ("up", 0)) == after(("submit",), ("up", 0))
+    assert after(("submit",), ("time",)) != after(("submit",))
+    assert after(("submit",), ("up", 0), ("error", 0, 0)) != after(("submit",), ("up", 0), ("ok", 0, 0))
+    both: tuple[Event, ...] = (("submit",), ("submit",))
+    assert after(*both, ("up", 0), ("up", 1)) == after(*both, ("up", 1), ("up", 0))
+
+
+# Counterexamples.
+
+
+def test_what_was_found_holds_now() -> None:
+    files = sorted(FOUND.glob("*.json"))
+    assert files
+    for file in files:
+        example = read(file)
+        assert play(CASES[example.case], example.events).problems == [], file
+        assert example.text() == file.read_text()
+    example = read(FOUND / "keyed-window.json")
+    broken = play(CASES[example.case], example.events, Parts(module=ForgetsTheWindow)).problems
+    assert broken[0][0] == "keyed-in-scope"
+
+
+@pytest.mark.parametrize(
+    ("text", "place"),
+    [
+        ("{", "no JSON"), ("[]", "must be an object"), ('{"version": 2}', "version: must be 1"),
+        ('{"version": 1, "case": "x"}', "case: must be one of"),
+        ('{"version": 1, "case": "safe"}', "events: must be a list"),
+        ('{"version": 1, "case": "safe", "events": [["submit"], ["dance"]]}', "events[1]: must begin with"),
+        ('{"version": 1, "case": "safe", "events": [["up"]]}', "events[0]: 'up' takes 1 numbers"),
+        ('{"version": 1, "case": "safe", "events": [["up", true]]}', "events[0]: 'up' takes"),
+        ('{"version": 1, "case": "safe", "events": [["up", -1]]}', "events[0]: 'up' takes"),
+    ],
+)  # fmt: skip
+def test_a_damaged_file_is_told_by_its_place(text: str, place: str, tmp_path: Path) -> None:
+    file = tmp_path / "found.json"
+    file.write_text(text)
+    code, _, err = command("--replay", str(file))
+    assert code == 2 and place in err and "Traceback" not in err
+
+
+def command(*words: str) -> tuple[int, str, str]:
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        code = main(["explore", *words])
+    return code, out.getvalue(), err.getvalue()
+
+
+def test_the_command(tmp_path: Path) -> None:
+    code, out, _ = command("--case", "late", "--depth", "4", "--json")
+    (told,) = json.loads(out)
+    assert (code, told["held"], told["complete"], told["bound"]) == (0, True, False, 4)
+    assert told["visited"] > 20 and told["peak_mb"] > 1
+    assert "INCOMPLETE" in command("--case", "late", "--depth", "3")[1]
+    assert command("--case", "nope")[0] == 2 and command("--depth", "99")[0] == 2
+    out = command("--list")[1]
+    assert all(name in out for name in (*CASES, *properties.NAMES))
+    code, out, _ = command("--replay", str(FOUND / "keyed-window.json"))
+    assert code == 0 and "held" in out
+    assert command("--replay", str(tmp_path / "none.json"))[0] == 2
+
+
+def test_a_counterexample_replays_on_sockets_at_the_real_program() -> None:
+    events: tuple[Event, ...] = (("submit",), ("up", 0), ("error", 0, 0))
+    example = Example("unsafe", "unsafe-once", events)
+    told = sockets.replay(example)
+    assert (told["broken"], len(told["attempts"]), told["answers"]) == ([], 1, {"0": [502]})
+    # A build with the fault put in: what the explorer finds is met on sockets as well.
+    folder = Path(tempfile.mkdtemp())
+    shutil.copytree(ROOT / "maplestile", folder / "maplestile")
+    module = folder / "maplestile" / "decide.py"
+    text, check = module.read_text(), "unsafe, unknown = call.kind.effect is Effect.UNSAFE,"
+    assert check in text and "return not ran or call.kind.effect is Effect.SAFE" in text
+    text = text.replace(check, "unsafe, unknown = False,")
+    module.write_text(text.replace("not ran or call.kind.effect is Effect.SAFE", "True or False"))
+    with unittest.mock.patch.dict(os.environ, {"PYTHONPATH": str(folder), "PYTHONSAFEPATH": "1"}):
+        told = sockets.replay(Example("unsafe", "unsafe-once", (*events, ("up", 1))))
+    assert [name for name, _ in told["broken"]] == ["unsafe-once"], told
+
+
+def test_faults_of_the_list_and_of_links_replay_on_sockets() -> None:
+    for case, events, statuses in (
+        ("unsafe", (("submit",), ("refuse", 0), ("up", 1), ("ok", 1, 0)), [200]),
+        ("drain", (("submit",), ("up", 0), ("drain", 0), ("drain", 1), ("reset", 0)), [502]),
+        ("safe", (("submit",), ("up", 0), ("reset", 0), ("up", 1), ("ok", 1, 0)), [200]),
+    ):
+        told = sockets.replay(Example(case, "", events))
+        assert (told["broken"], told["answers"]) == ([], {"0": statuses}), told
+    hasty = unittest.mock.patch.object(sockets, "PATIENCE_S", 5.0)
+    with hasty, pytest.raises(CaseError, match="did not come about|not to be played"):
+        sockets.replay(Example("safe", "", (("up", 3),)))
+
+
+class Machine(RuleBasedStateMachine):
+    """Beyond the bounds of the cases: three calls of any classes, three workers, many faults, long times."""
+
+    @initialize(classes=strategies.lists(strategies.sampled_from(CLASSES), min_size=3, max_size=3))
+    def begin(self, classes: list[str]) -> None:
+        may = ("error", "full", "miss", "refuse", "reset", "part", "again", "stray", "leave", "drain", "gone",
+               "return", "stop")  # fmt: skip
+        case = Case("random", "", tuple(classes), may, 12, 3, ("a", "a", "b"), (1, 2, 2), 40)
+        self.world = World(case, SHIPPED)
+
+    @precondition(lambda self: hasattr(self, "world") and self.world.enabled())
+    @rule(pick=strategies.integers(0, 999))
+    def happen(self, pick: int) -> None:
+        enabled = self.world.enabled()
+        self.world.play(enabled[pick % len(enabled)])
+        properties.at_each(self.world)
+
+    @invariant()
+    def all_hold(self) -> None:
+        assert not hasattr(self, "world") or self.world.problems == []
+
+    def teardown(self) -> None:
+        if hasattr(self, "world"):
+            properties.at_rest(self.world)
+            assert self.world.problems == []
+
+
+RandomTest = Machine.TestCase
+RandomTest.settings = settings(max_examples=150, stateful_step_count=50, deadline=None, derandomize=True)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -485,7 +485,10 @@
         return self.driver.configure(operator.tables_of(self.text.replace(old, new)))
 
     def tell(self, epoch: int, **more: Any) -> dict[str, Any]:
-        return self.driver.hear({"epoch": epoch, "fenced_us": monotonic_us(), "checking": 0, **more})
+        told: list[dict[str, Any]] = []
+        self.driver.hear({"epoch": epoch, "fenced_us": monotonic_us(), "checking": 0, **more}, told.append)
+        (answer,) = told
+        return answer
 
     def policy(self, **rules: Any) -> dict[str, Any]:
         return {"rules": rules, "class": operator.tables_of(self.text)["class"]}
@@ -554,9 +557,26 @@
                                   {"epoch": True, "fenced_us": 0, "checking": 0}])  # fmt: skip
 def test_a_damaged_word_is_told_by_its_field(told: object, tmp_path: Path) -> None:
     rig = Rig(tmp_path)
-    for ask in (rig.driver.hear, rig.driver.check):
-        with pytest.raises(PolicyError, match="must be a whole number"):
-            ask(told)
+    with pytest.raises(PolicyError, match="must be a whole number"):
+        rig.driver.hear(told, lambda answer: None)
+    with pytest.raises(PolicyError, match="must be a whole number"):
+        rig.driver.check(told)
+
+
+def test_a_word_that_comes_while_the_record_is_written_changes_nothing(tmp_path: Path) -> None:
+    rig, jobs, answers = Rig(tmp_path), list[Any](), list[Any]()
+    rig.tell(0, document=None)
+    rig.driver.elsewhere = lambda job, then: jobs.append((job, then))
+    word = {"epoch": 1, "fenced_us": monotonic_us(), "checking": 0, "document": rig.policy(attempts=2)}
+    rig.driver.hear(word, answers.append)
+    rig.driver.hear(word, answers.append)
+    assert [answer["epoch"] for answer in answers] == [0] and len(jobs) == 1
+    ((job, then),) = jobs
+    job()
+    rig.reload('name = "keep-result"', 'name = "kept"')  # it comes in between, and stands
+    then(None)
+    assert answers[-1]["epoch"] == 1
+    assert rig.taken[-1].operator is not None and "kept" in rig.taken[-1].operator.functions
 
 
 def test_the_policy_table_is_checked(tmp_path: Path) -> None:
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -182,7 +182,7 @@
         self.pool.send((2, 0), "s-0", big, 5_000_000)
         self.assertIsNotNone(connection.partial)
         self.worker.pause.set()
-        self.pool._close(connection, Result.RESET)
+        self.pool.close(connection, Result.RESET)
         self.assertEqual(self.ends.ended, {(1, 0): Result.RESET})
         await self.until(2)
         self.assertEqual((self.ends.ended[2, 0], len(self.worker.ran)), (Result.ERROR, 2))
