--- a/maplestile/core.py
+++ b/maplestile/core.py
@@ -185,7 +185,7 @@
     def withdraw(self, call: int) -> None:
         """The client waits no longer: nothing is owed, and what is out is called off by the module."""
         if (owed := self.open.pop(call, None)) is not None:
-            self.move.call(owed, Call.WITHDRAWN)
+            self.move(owed, Call.WITHDRAWN)
             self.open_bytes -= owed.request.bytes()
             self.counters["requests.withdrawn"] += 1
             self.give(api.CallExpired(call))
@@ -382,7 +382,7 @@
         """The one way to a final answer; a second one for the same call goes nowhere."""
         owed = self.open.pop(call, None)
         if owed is not None:
-            self.move.call(owed, Call.ANSWERED)
+            self.move(owed, Call.ANSWERED)
             self.open_bytes -= owed.request.bytes()
             self.answers[owed.request.class_name, outcome.verdict] += 1
             owed.answer(outcome)
--- a/maplestile/explore/properties.py
+++ b/maplestile/explore/properties.py
@@ -1,13 +1,11 @@
 """What has to hold, each written once, by its name. They are judged by what the world knows to be true."""
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from maplestile import interface as api
 from maplestile.core import Outcome, Verdict
 from maplestile.explore import world as worlds
-
-if TYPE_CHECKING:
-    from maplestile.explore.world import Client, Line, Link, World
+from maplestile.explore.world import Client, Line, Link, World
 
 NAMES = {
     "one-answer": "at most one final answer to a call",
@@ -25,7 +23,7 @@
 }
 
 
-def on_answer(world: "World", client: "Client", outcome: Outcome) -> None:
+def on_answer(world: World, client: Client, outcome: Outcome) -> None:
     if len(client.outcomes) > 1:
         world.broken("one-answer", f"{client.class_name}: {len(client.outcomes)} answers")
     if client.left:
@@ -45,14 +43,14 @@
         world.broken("harmless-refusal", f"{client.class_name}: refused, and it may have run")
 
 
-def on_write(world: "World", link: "Link", told: dict[str, Any]) -> None:
+def on_write(world: World, link: Link, told: dict[str, Any]) -> None:
     """A line begins to go out."""
     fresh = told["kind"] in ("CALL", "LOAD", "STATS", "UNLOAD")
     if fresh and link.worker in world.told_us:
         world.broken("nothing-after-drain", f"{told['kind']} to {link.worker}")
 
 
-def on_arrival(world: "World", line: "Line") -> None:
+def on_arrival(world: World, line: Line) -> None:
     """A worker has the line of a call whole, and may run it from now on; `arrivals` are those before."""
     client = world.client_of(line.told["call"])
     kind = worlds.CLASSES[client.class_name]
@@ -78,7 +76,7 @@
         world.broken("keyed-in-scope", f"{client.class_name}: again after {age_ms:g} ms")
 
 
-def at_each(world: "World") -> None:
+def at_each(world: World) -> None:
     """After every event."""
     for call, owed in world.core.open.items():
         if owed.attempts > worlds.MAX_ATTEMPTS:
@@ -87,7 +85,7 @@
         world.broken("no-forbidden-move", f"{world.counters['states.forbidden']} of them")
 
 
-def at_rest(world: "World") -> None:
+def at_rest(world: World) -> None:
     """Nothing happens any more, and time passes until nothing can be left."""
     for _ in range(worlds.REST_STEPS):
         world.pass_time()
--- a/maplestile/explore/search.py
+++ b/maplestile/explore/search.py
@@ -44,7 +44,7 @@
 
 def play(case: Case, events: Sequence[Event], parts: Parts = SHIPPED, rest: bool = True) -> Outcome:
     """The events from the start; what is broken, then or once nothing more happens."""
-    world = World(case, parts)
+    world = World(case, properties, parts)
     try:
         for event in events:
             world.play(event)
--- a/maplestile/explore/sockets.py
+++ b/maplestile/explore/sockets.py
@@ -25,6 +25,7 @@
 from pathlib import Path
 from typing import Any
 
+from maplestile.explore import properties
 from maplestile.explore import world as worlds
 from maplestile.explore.cases import CASES, Case, CaseError, Event, Example
 from maplestile.operation.client import CallError, call
@@ -339,7 +340,7 @@
     with tempfile.TemporaryDirectory() as folder:
         stage = Stage(CASES[example.case], Path(folder))
         stage.refusals = [int(event[1]) for event in example.events if event[0] == "refuse"]
-        played = worlds.World(stage.case)
+        played = worlds.World(stage.case, properties)
         for event in example.events:
             played.play(event)
         stage.dialled = [link.worker for link in played.links]
--- a/maplestile/pool.py
+++ b/maplestile/pool.py
@@ -145,10 +145,10 @@
         if connection is None or message is None:
             return
         if message.state is Attempt.QUEUED:  # never written: nothing to call off
-            self.move.attempt(message, Attempt.CALLED_OFF)
+            self.move(message, Attempt.CALLED_OFF)
             connection.queue.remove(message)
             return
-        self.move.attempt(message, Attempt.CALLED_OFF)
+        self.move(message, Attempt.CALLED_OFF)
         # A tag that a client has used twice at once may stand for another attempt by now.
         if connection.open.get(message.tag) != attempt:
             return
@@ -157,7 +157,7 @@
         silent = connection.heard_us < message.written_us and silent_us > self.limits.runner_silent_us
         if silent and connection.state is Link.UP:
             # A machine that is cut off gives no sign; a new connection to it would not come up.
-            self.move.link(connection, Link.DOUBTFUL)
+            self.move(connection, Link.DOUBTFUL)
         self._write(connection, Message(wire.cancel(message.tag), False))
 
     def order(self, tag: int, worker: str, function: str, copies: int) -> None:
@@ -246,7 +246,7 @@
 
     def up(self, connection: Connection, socket: Socket) -> None:
         connection.socket = socket
-        self.move.link(connection, Link.UP)
+        self.move(connection, Link.UP)
         self._flush(connection)
 
     def heard(self, connection: Connection) -> None:
@@ -256,7 +256,7 @@
             self.borne.append((connection.heard_us, connection.rested_us))
         connection.rested_us = 0
         if connection.state is Link.DOUBTFUL:
-            self.move.link(connection, Link.UP)
+            self.move(connection, Link.UP)
 
     def settled(self, connection: Connection) -> None:
         self._flush(connection)
@@ -285,7 +285,7 @@
                 connection.open[message.tag] = message.attempt
             elif message.tag:
                 connection.errands[message.tag] = (message.order, message.probe)
-            self.move.attempt(message, Attempt.PART)
+            self.move(message, Attempt.PART)
             whole = socket.write(message.line)
             connection.used_us = message.written_us = self.clock()
             if not whole:
@@ -305,15 +305,15 @@
         if message.attempt is not None:
             self.calls_written += 1
         if message.state is Attempt.PART:  # else it was called off, or answered, before its last byte
-            self.move.attempt(message, Attempt.WRITTEN)
+            self.move(message, Attempt.WRITTEN)
 
     def _end(self, attempt: AttemptId, to: Attempt) -> None:
         found = self.where.pop(attempt, None)
         if found is not None:
-            self.move.attempt(found[1], to)
+            self.move(found[1], to)
 
     def _unsent(self, message: Message, result: Result) -> None:
-        self.move.attempt(message, Attempt.UNSENT)
+        self.move(message, Attempt.UNSENT)
         if message.attempt is not None:
             self.where.pop(message.attempt, None)
             self.core.attempt_ended(message.attempt, result)
@@ -341,7 +341,7 @@
         """It is over: tell the core of all that was open: `result` if written whole, else it never ran."""
         if connection.state is Link.CLOSED:
             return
-        self.move.link(connection, Link.CLOSED)
+        self.move(connection, Link.CLOSED)
         connection.runner.connections.remove(connection)
         self.connections -= 1
         unsent, connection.queue = connection.queue, deque()
@@ -365,7 +365,7 @@
             (self.core.probe_ended if probe else self.core.order_ended)(number, result)
         for message in unsent:
             if message.state is Attempt.PART:  # called off or answered meanwhile, it ends as it is
-                self.move.attempt(message, Attempt.QUEUED)
+                self.move(message, Attempt.QUEUED)
             # A connection that came up and broke says nothing of the runner: the rest goes by another.
             if connection.socket is None or not self._again(connection.runner, message):
                 self._unsent(message, Result.CONNECT_FAILED)
--- a/maplestile/states.py
+++ b/maplestile/states.py
@@ -7,7 +7,7 @@
 import logging
 from collections import Counter
 from enum import Enum
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 log = logging.getLogger(__name__)
 
@@ -41,33 +41,22 @@
     CLOSED = "closed"
 
 
-CALL = {
+MOVES: dict[Enum, set[Enum]] = {
     Call.OWED: {Call.ANSWERED, Call.WITHDRAWN},
-}
-ATTEMPT = {
     # Queued again from PART: its connection broke before the system had it all, and it goes by another.
     Attempt.QUEUED: {Attempt.PART, Attempt.UNSENT, Attempt.CALLED_OFF},
     Attempt.PART: {Attempt.WRITTEN, Attempt.QUEUED, Attempt.ANSWERED, Attempt.UNSENT, Attempt.BROKEN,
                    Attempt.CALLED_OFF},
     Attempt.WRITTEN: {Attempt.ANSWERED, Attempt.BROKEN, Attempt.CALLED_OFF},
-}  # fmt: skip
-LINK = {
     Link.OPENING: {Link.UP, Link.CLOSED},
     Link.UP: {Link.DOUBTFUL, Link.CLOSED},
     Link.DOUBTFUL: {Link.UP, Link.CLOSED},
-}
-
-
-class HasCall(Protocol):
-    state: Call
-
-
-class HasAttempt(Protocol):
-    state: Attempt
+}  # fmt: skip
+State = TypeVar("State", bound=Enum)
 
 
-class HasLink(Protocol):
-    state: Link
+class Has(Protocol[State]):
+    state: State
 
 
 class Move:
@@ -76,21 +65,9 @@
     def __init__(self, counters: Counter[str]) -> None:
         self.counters = counters
 
-    def call(self, thing: HasCall, to: Call) -> None:
-        if to not in CALL.get(thing.state, ()):
-            self._forbidden(thing.state, to)
+    def __call__(self, thing: Has[State], to: State) -> None:
+        if to not in MOVES.get(thing.state, ()):
+            self.counters["states.forbidden"] += 1
+            kind = type(to).__name__
+            log.error("%s: %s to %s is no transition", kind, thing.state.value, to.value)
         thing.state = to
-
-    def attempt(self, thing: HasAttempt, to: Attempt) -> None:
-        if to not in ATTEMPT.get(thing.state, ()):
-            self._forbidden(thing.state, to)
-        thing.state = to
-
-    def link(self, thing: HasLink, to: Link) -> None:
-        if to not in LINK.get(thing.state, ()):
-            self._forbidden(thing.state, to)
-        thing.state = to
-
-    def _forbidden(self, old: Enum, new: Enum) -> None:
-        self.counters["states.forbidden"] += 1
-        log.error("%s: %s to %s is no transition", type(old).__name__, old.value, new.value)
