Let a released instance rest by itself, in place of holding all grants of a rollout

Need: a budget of 50 among 200 was half used, since any step's end held every grant for a second. Change: one that is back counts as out for that second. The health of each that ended between two looks is now followed, not of the last alone.

--- a/maplestile/control/decide.py
+++ b/maplestile/control/decide.py
@@ -15,7 +15,7 @@
     """What an operator's file may set; times in microseconds."""
 
     fresh_us: int = 2_000_000  # what was heard of an instance is worth something for so long
-    settle_us: int = 1_000_000  # after a step, so that the health of what was released can be seen
+    settle_us: int = 1_000_000  # one that is back counts as out so long: its health is yet to be seen
     outage_us: int = 3_000_000  # more out than the budget for so long halts the rollout
     step_us: int = 60_000_000  # a step that takes longer halts the rollout
     grace_us: int = 5_000_000  # a new leader waits so long at most for word of every instance
@@ -47,9 +47,9 @@
     heard: dict[str, Heard] = field(default_factory=dict)
     leases: dict[int, int] = field(default_factory=dict)  # number to when it was seen first
     released: dict[str, Word] = field(default_factory=dict)  # calls of an instance when its step ended
-    ended_us: int = 0
+    resting: dict[str, int] = field(default_factory=dict)  # those whose steps ended of late, and when
+    ended: tuple[int, int, int] = (0, 0, 0)  # the rollout, and how many of its done and undone were seen
     over_us: int = 0  # since when more are out than the budget; 0 if they are not
-    done: int = -1
 
     def hear(self, words: Mapping[str, Word], now_us: int) -> None:
         for name, word in words.items():
@@ -83,10 +83,10 @@
         if (reason := self._ailing(control, down, out, now_us)) and rollout.phase is Phase.RUNNING:
             return {"do": "halt", "rollout": rollout.number, "reason": reason}
         step = control.next_step()
-        if step is None or now_us - self.ended_us < self.rules.settle_us:
+        if step is None:
             return None
         # One already out, by its own lease or by an outage, takes up no more of the budget by its step.
-        counted = {*control.out(rollout.kind), *down, step[0]}
+        counted = {*control.out(rollout.kind), *down, *self.resting, step[0]}
         if len(counted) > rollout.budget:
             return None
         return {"do": "grant", "rollout": rollout.number, "instance": step[0], "down": down,
@@ -96,13 +96,18 @@
         numbers = {lease.number for lease in control.leases.values()}
         self.leases = {n: self.leases.get(n, now_us) for n in numbers}
         rollout = control.rollout
-        done = len(rollout.done) + len(rollout.undone) if rollout is not None else 0
-        if done != self.done:
-            self.done, self.ended_us = done, now_us
-            ended = rollout.done[-1:] if rollout is not None else []
-            for name in ended:
+        number, done, undone = self.ended
+        if rollout is not None and number != rollout.number:
+            # A new leader does not know when they ended: as many as may be out at once count as the last.
+            done, undone = (max(0, len(one) - rollout.budget) for one in (rollout.done, rollout.undone))
+        if rollout is not None:
+            for name in (*rollout.done[done:], *rollout.undone[undone:]):
+                self.resting[name] = now_us
+            for name in rollout.done[done:]:
                 heard = self.heard.get(name)
                 self.released[name] = heard.word if heard is not None else Word(False)
+            self.ended = rollout.number, len(rollout.done), len(rollout.undone)
+        self.resting = {n: at for n, at in self.resting.items() if now_us - at < self.rules.settle_us}
         if rollout is None or rollout.phase not in (Phase.RUNNING, Phase.HALTED):
             self.released = {}
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -72,6 +72,30 @@
         fleet.step("r0")
         self.assertEqual((fleet.look() or {})["instance"], "r2")
 
+    def test_one_that_is_back_counts_as_out_until_its_health_can_be_seen_and_holds_up_no_other(self) -> None:
+        fleet = Small(self, settle_us=S)
+        fleet.ok("start", action="restart", targets=[], budget=3)
+        for name in ("r0", "r1", "r2"):
+            self.assertEqual((fleet.look() or {})["instance"], name)
+        fleet.step("r0")
+        self.assertIsNone(fleet.look())  # r0 rests, r1 and r2 are out
+        fleet.step("r1")
+        self.assertIsNone(fleet.look())
+        self.assertEqual((fleet.look(900_000) or {})["instance"], "r3")  # r0 has rested, r1 not yet
+        self.assertIsNone(fleet.look(0))
+        self.assertEqual((fleet.look(200_000) or {})["instance"], "r4")
+
+    def test_each_of_those_that_end_between_two_looks_is_watched(self) -> None:
+        fleet = Small(self, calls_least=20)
+        fleet.ok("start", action="restart", targets=["r0", "r1", "r2"], budget=2)
+        fleet.look()
+        fleet.look()
+        fleet.step("r0")
+        fleet.step("r1")
+        fleet.look()
+        fleet.words["r0"] = Word(True, 0, 30)
+        self.assertIn("r0 fails 30 of 30", (fleet.look() or {}).get("reason", ""))
+
     def test_out_by_membership_or_not_heard_of_is_out(self) -> None:
         fleet = Small(self)
         fleet.look()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -89,6 +89,7 @@
     assert fleet.look(9 * S) is None
     fleet.no("not absent: r1", "policy commit", change=1, absent=["r1"])
     fleet.no("not checked by r1", "policy commit", change=1, absent=[])
+    fleet.no("change 0 is not being checked", "policy verdict", change=0, instance="r0", reason="")
     fleet.no("does not manage", "policy verdict", change=1, instance="r1", reason="")
     fleet.verdict(1)
     command = fleet.look(9 * S)
@@ -115,6 +116,8 @@
     assert command is not None and command["reason"] == "no verdict within 6 s of r1"
     assert fleet.control.apply(command)["ok"] and fleet.control.policy.epoch.number == 0
     fleet.ok("policy propose", base=0, document=ONE)  # nobody is there at all
+    fleet.no("no router has checked it", "policy commit", change=3, absent=["r0", "r1"])
+    fleet.no("change 2 is not being checked", "policy commit", change=2, absent=["r0", "r1"])
     assert fleet.look(8 * S) is None
     assert (fleet.look(15 * S) or {})["reason"] == "no router is there to check it"
 
@@ -273,6 +276,8 @@
     told = operator.from_tables(tables, Adopted(4, document))
     assert (told.epoch, told.records, told.node["settings"]["limits"]["attemptsCap"]) == (4, 7, 2)
     assert told.node["settings"]["familyInfo"]["lingerIdleUs"] == 10_000_000  # not the file's 9.7
+    bare = operator.from_tables(tables, Adopted(4, Document.of({"class": tables["class"]})))
+    assert bare.node["settings"]["familyInfo"]["lingerIdleUs"] == 10_000_000
     assert told.node["settings"]["limits"]["maxOpen"] == 2000 and told.body_bytes == 16384
     with pytest.raises(ConfigError, match=r"function\[0\].class: must be one of other"):
         other = {"name": "other", "aim_ms": 1, "deadline_ms": 1, "semantics": "safe"}
