--- a/maplestile/explore/fingerprint.py
+++ b/maplestile/explore/fingerprint.py
@@ -50,7 +50,8 @@
             [(self.of(name), state.value) for name, state in sorted(world.state.items())],
             [(line.told["call"], self.of(line.link.worker), line.never_ran, self.of(line.at_us))
              for line in sorted(world.arrivals, key=lambda line: str(line.told["call"]))],
-            self.timers(), world.faults, world.steps, world.stopped, len(world.problems),
+            self.timers(), world.faults, world.steps, world.stopped, world.epoch, len(world.problems),
+            [one.epoch for one in world.clients],
         )  # fmt: skip
         return hashlib.blake2b(repr(told).encode(), digest_size=12).digest()
 
--- a/maplestile/explore/world.py
+++ b/maplestile/explore/world.py
@@ -9,6 +9,7 @@
     part LINK       of the next line the system takes a part; `drained LINK`: it takes the rest
     drain WORKER    the list tells that it drains; `gone`; `return`: a new process under its address
     stop            SIGTERM, while another process serves
+    policy          the next epoch of the fleet's policy, by which calls have one attempt, then two again
     time            a step of time passes, with all that is due in it
 
 What is true is known here: which worker has a line whole, and so may have run it, whatever was heard."""
@@ -43,18 +44,22 @@
         for scope in Scope
     },
 }
-MAX_ATTEMPTS = 2
+MAX_ATTEMPTS = 2  # of epoch 0, and of every second one after it
 KINDS = {"ok": "200", "error": "500", "full": "503", "miss": "404"}
 LINK_WORDS = ("up", "refuse", "reset", "part", "drained", "stray", "again", *KINDS)
 NEVER = [kind for kind, result in wire.RESULTS.items() if result in NEVER_RAN]
 
 
-def settings() -> api.Settings:
+def attempts_of(epoch: int) -> int:
+    return MAX_ATTEMPTS - epoch % 2
+
+
+def settings(epoch: int = 0) -> api.Settings:
     return api.Settings(
         classes=tuple(CLASSES.values()), dispatchers=1, zone="a", tick_us=4 * MS, must_ask_for_list=False,
         may_order=True, loads_on_miss=True, keep_us=10_000 * MS, kind_memory_mb=(("k", 4000.0),),
         order_timeout_us=ORDER_US, order_window_us=0, orders_free=0, orders_per_call=0,
-        max_attempts=MAX_ATTEMPTS, may_cancel=True, may_duplicate=True, may_probe=True,
+        max_attempts=attempts_of(epoch), epoch=epoch, may_cancel=True, may_duplicate=True, may_probe=True,
         answer_slack_us=16 * MS, drain_grace_us=2_000 * MS, cold_share=0.16, cold_us=18_000 * MS,
         fall_multiple=4.0, fall_us=2_000 * MS,
     )  # fmt: skip
@@ -140,6 +145,7 @@
     number: int  # of the core
     class_name: str
     due_us: int
+    epoch: int  # of the policy that it came under
     outcomes: list[tuple[int, Outcome]] = field(default_factory=list)  # when, and which
     left: bool = False
 
@@ -176,7 +182,7 @@
         self.clients: list[Client] = []
         self.arrivals: list[Line] = []  # calls that a worker has whole, in order
         self.told_us: dict[str, int] = {}  # of a worker that drains or has gone: since when
-        self.faults = self.steps = 0
+        self.faults = self.steps = self.epoch = 0
         self.process = {f"w{n}": 0 for n in range(case.workers)}
         self.fleet = Fleet()
         limits = Limits(order_timeout_us=ORDER_US, runner_silent_us=150 * MS, runner_streams=2)
@@ -214,6 +220,8 @@
                 found.append(("gone", number))
             if state is not WorkerState.RUNNING and "return" in may:
                 found.append(("return", number))
+        if "policy" in may:
+            found.append(("policy",))
         if "stop" in may and not self.stopped:
             found.append(("stop",))
         if self.steps < self.case.quiet and self.clients:
@@ -264,6 +272,9 @@
                 self._tell(f"w{numbers[0]}", word)
             case "stop":
                 self.stopped, self.core.leave_us = True, self.now + LEAVE_US
+            case "policy":
+                self.epoch += 1
+                self.core.adopt(settings(self.epoch), self.core.limits)
             case "time":
                 self.steps += 1
                 self.pass_time()
@@ -294,7 +305,7 @@
         due_us = self.now + DEADLINE_US
         if self.stopped:
             due_us = min(due_us, self.core.leave_us)
-        client = Client(self.core.number + 1, name, due_us)
+        client = Client(self.core.number + 1, name, due_us, self.epoch)
         self.clients.append(client)
         request = Request(f"c{number}", "f", name, DEADLINE_US, 100.0, 1, key=f"k{number}")
         self.core.submit(request, self.now, lambda outcome: self._answered(client, outcome))
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -57,6 +57,13 @@
         return self.running(worker)
 
 
+class DecidesByTheNewest(Dispatcher):
+    def adopt(self, settings: api.Settings) -> None:
+        super().adopt(settings)
+        for call in self.calls.values():
+            call.rules = settings
+
+
 class RefusesAnything(Dispatcher):
     def may_refuse(self, call: Call) -> bool:
         return True
@@ -111,6 +118,7 @@
     ("keyed-in-scope", "keyed-all", Parts(module=ForgetsTheWindow)),
     ("nothing-after-drain", "drain", Parts(pool=WritesToDraining)),
     ("attempt-limit", "safe", Parts(module=CountsNoAttempts)),
+    ("one-policy", "policy", Parts(module=DecidesByTheNewest)),
     ("harmless-refusal", "unsafe", Parts(module=RefusesAnything)),
     ("counts-return", "late", Parts(module=LeavesCounts)),
     ("nothing-kept", "late", Parts(core=KeepsBytes)),
