Let a fence out to those routers alone that the log has named, and ask a verdict again

Cause, found on rereading: a read of an agent that has just started may come before its registration. The log then counts none of its routers as served, but the agent took its answer as leave for all of them, so a change could have been committed past an unchecked router. The read now answers with the names it has counted, and the agent tells its fence to these. A verdict that was refused for the same cause is given again, in place of never.

--- a/maplestile/herald.py
+++ b/maplestile/herald.py
@@ -124,8 +124,8 @@
         with contextlib.suppress(LogError):  # counted there; its routers hear nothing new meanwhile
             reply = await self.plane.submit(command)
             if reply["ok"]:
-                for known in answering.values():  # these processes, not those that have come by their names
-                    known.fence = int(reply["epoch"]), asked_us
+                for name in reply["named"]:  # these processes, not those that have come by their names
+                    answering[name].fence = int(reply["epoch"]), asked_us
 
     def _news(self, known: Known, change: Change | None) -> tuple[int, int, int] | None:
         """What the router is to be told now: epoch, fence, and the change that is being checked."""
@@ -194,8 +194,11 @@
         except LogError as fault:
             log.warning("policy: the verdict of %s is not agreed on yet: %s", name, fault)
             return
-        known.checked = change.number  # agreed on, or the change is decided
         self.events.info("verdict", instance=name, change=change.number, reason=reason, agreed=reply["ok"])
+        if reply["ok"]:
+            known.checked = change.number
+        else:  # the change is decided, or this agent has not registered yet: it is asked again if need be
+            await asyncio.sleep(AGAIN_S)
 
     # Where this voter leads.
 
--- a/maplestile/policy/agreed.py
+++ b/maplestile/policy/agreed.py
@@ -137,11 +137,11 @@
         return {"change": change.number}
 
     def _read(self, command: Command, instances: dict[str, str]) -> Reply:
+        named = [name for name in command["instances"] if instances.get(name) == command["agent"]]
         self.reads += 1
-        for name in command["instances"]:
-            if instances.get(name) == command["agent"]:
-                self.members[name] = self.reads
-        return {"epoch": self.epoch.number}
+        self.members.update(dict.fromkeys(named, self.reads))
+        # The others are not registered as this agent's, or not yet.
+        return {"epoch": self.epoch.number, "named": named}
 
     # By the leader.
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -91,6 +91,8 @@
     fleet.no("not checked by r1", "policy commit", change=1, absent=[])
     fleet.no("change 0 is not being checked", "policy verdict", change=0, instance="r0", reason="")
     fleet.no("does not manage", "policy verdict", change=1, instance="r1", reason="")
+    # A read lets none serve that the log does not count as that agent's.
+    assert fleet.ok("policy read", instances=["r0", "r1", "r9"])["named"] == ["r0"]
     fleet.verdict(1)
     command = fleet.look(9 * S)
     assert command is not None and (command["do"], command["absent"]) == ("policy commit", [])
