--- a/maplestile/explore/sockets.py
+++ b/maplestile/explore/sockets.py
@@ -25,12 +25,14 @@
 from pathlib import Path
 from typing import Any
 
+import maplestile
 from maplestile.explore import properties
 from maplestile.explore import world as worlds
 from maplestile.explore.cases import CASES, Case, CaseError, Event, Example
 from maplestile.operation.client import CallError, call
 
 PATIENCE_S, LOOK_S, REST_S, SETTLE_S = 10.0, 0.005, 1.5, 0.03
+ROOT = Path(maplestile.__file__).parent.parent
 SEMANTICS = {"safe": 'semantics = "safe"', "unsafe": 'semantics = "unsafe"'}
 
 
@@ -89,8 +91,8 @@
 class Stage:
     """One replay."""
 
-    def __init__(self, case: Case, folder: Path) -> None:
-        self.case, self.folder = case, folder
+    def __init__(self, case: Case, folder: Path, root: Path) -> None:
+        self.case, self.folder, self.root = case, folder, root
         self.peers: list[Peer] = []  # in the order in which they were accepted, as links are dialled
         self.seen: list[Seen] = []
         self.answers: dict[int, list[int]] = {}  # the statuses of each call
@@ -136,7 +138,11 @@
 
     async def start(self) -> None:
         command = [sys.executable, "-m", "maplestile", "serve", str(self.file())]
-        self.process = await asyncio.create_subprocess_exec(*command, stdin=DEVNULL, stderr=PIPE)
+        # Of that folder, wherever this was called from, and whatever else is installed.
+        environment = {**os.environ, "PYTHONPATH": str(self.root), "PYTHONSAFEPATH": "1"}
+        self.process = await asyncio.create_subprocess_exec(
+            *command, stdin=DEVNULL, stderr=PIPE, env=environment
+        )
         assert self.process.stderr is not None
         found: dict[str, tuple[str, int]] = {}
         async with asyncio.timeout(PATIENCE_S):
@@ -336,9 +342,9 @@
         return [("keyed-in-scope", one) for one in (*told, *(f"{name}: after its window" for _ in late))]
 
 
-async def _replay(example: Example) -> dict[str, Any]:
+async def _replay(example: Example, root: Path) -> dict[str, Any]:
     with tempfile.TemporaryDirectory() as folder:
-        stage = Stage(CASES[example.case], Path(folder))
+        stage = Stage(CASES[example.case], Path(folder), root)
         stage.refusals = [int(event[1]) for event in example.events if event[0] == "refuse"]
         played = worlds.World(stage.case, properties)
         for event in example.events:
@@ -361,10 +367,10 @@
     }  # fmt: skip
 
 
-def replay(example: Example) -> dict[str, Any]:
-    """What came of it: which properties are broken, the statuses of each call, and who had it whole. Raises
-    CaseError where an event does not come about on sockets."""
+def replay(example: Example, root: Path = ROOT) -> dict[str, Any]:
+    """What came of it: the properties broken, the statuses of each call, and who had it whole. `root` is
+    the folder of the program's package. Raises CaseError where an event does not come about on sockets."""
     try:
-        return asyncio.run(_replay(example))
+        return asyncio.run(_replay(example, root))
     except (TimeoutError, IndexError) as fault:
         raise CaseError(f"events: not to be played on sockets: {fault or type(fault).__name__}") from None
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -3,7 +3,6 @@
 import contextlib
 import io
 import json
-import os
 import shutil
 import tempfile
 import unittest.mock
@@ -135,8 +134,7 @@
     assert check in text and "return not ran or call.kind.effect is Effect.SAFE" in text
     text = text.replace(check, "unsafe, unknown = False,")
     module.write_text(text.replace("not ran or call.kind.effect is Effect.SAFE", "True or False"))
-    with unittest.mock.patch.dict(os.environ, {"PYTHONPATH": str(folder), "PYTHONSAFEPATH": "1"}):
-        told = sockets.replay(Example("unsafe", "unsafe-once", (*events, ("up", 1))))
+    told = sockets.replay(Example("unsafe", "unsafe-once", (*events, ("up", 1))), folder)
     assert [name for name, _ in told["broken"]] == ["unsafe-once"], told
 
 
--- a/tests/test_process_adopt.py
+++ b/tests/test_process_adopt.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from maplestile.roster import Adopted, Lost, Roster, lines, started_of
-from tests.standins import PATIENCE_S, eventually
+from tests.standins import PATIENCE_S, Program, eventually
 from tests.test_process_policy import PolicyFleet, PolicyTest
 from tests.test_process_rollout import Calls, Hung
 
@@ -75,11 +75,10 @@
         self.assertEqual(len([told for _, told in self.fleet.events_of("back")]), 1)
 
     def test_of_two_agents_with_one_folder_the_second_does_not_start(self) -> None:
-        file = self.fleet.agents[0].file
-        command = [sys.executable, "-m", "maplestile", "agent", str(file)]
-        second = subprocess.run(command, capture_output=True, text=True, timeout=PATIENCE_S, check=False)
-        self.assertEqual(second.returncode, 1)
-        self.assertIn("another agent has the folder", second.stderr)
+        second = Program("agent", str(self.fleet.agents[0].file))
+        self.addCleanup(second.kill)
+        self.assertEqual(second.process.wait(PATIENCE_S), 1)
+        second.find("(another agent has the folder)")
         self.assertEqual(self.fleet.run(0, "ready", "r0")[0], 0)
 
 
