One span of a fault for both models, and no state that nothing reads

On rereading: the model of policy changes had its own copy of the rollouts' span and its reader; both now use the one in model/experiment.py. Three fields were written and never read: the follower's count of pauses, a link's process, the model's pending.

--- a/maplestile/explore/world.py
+++ b/maplestile/explore/world.py
@@ -100,7 +100,7 @@
 
     def __init__(self, world: "World", number: int, connection: Connection) -> None:
         self.world, self.number, self.connection = world, number, connection
-        self.worker, self.process = connection.runner.uid, world.process[connection.runner.uid]
+        self.worker = connection.runner.uid
         self.lines: list[Line] = []
         self.part, self.held = False, b""
         self.open = True
--- a/maplestile/model/experiment.py
+++ b/maplestile/model/experiment.py
@@ -26,6 +26,23 @@
     duties: int = 0
 
 
+@dataclass(slots=True, frozen=True)
+class Span:
+    """A fault of one thing, by its place, for a time."""
+
+    at_us: int
+    for_us: int
+    which: int = 0
+
+
+def span_from(table: Table, name: str = "", count: int = 0) -> Span:
+    """`at_s`, `for_s`, and the field `name`, a place below `count`, if any. Raises the table's error."""
+    at_us, for_us = (int(table.number(one, most=DURATION_MOST_S) * 1e6) for one in ("at_s", "for_s"))
+    span = Span(at_us, for_us, table.whole(name, most=count - 1) if name else 0)
+    table.end()
+    return span
+
+
 def load(path: Path) -> Experiment:
     return parse(read(path))
 
--- a/maplestile/model/policy.py
+++ b/maplestile/model/policy.py
@@ -39,6 +39,7 @@
 from maplestile.control.state import Control
 from maplestile.faults.schedule import DURATION_MOST_S, ScheduleError
 from maplestile.herald import CHECKING_S, LOOK_S, READ_S
+from maplestile.model.experiment import Span, span_from
 from maplestile.policy.agreed import Change, Phase
 from maplestile.policy.decide import Arbiter
 from maplestile.policy.follow import Follower, Rules, Standing, Step, Word
@@ -48,13 +49,6 @@
 TICK_US = 500_000
 
 
-@dataclass(slots=True, frozen=True)
-class Span:
-    at_us: int
-    for_us: int
-    which: int
-
-
 @dataclass(slots=True, frozen=True)
 class Plan:
     seed: int
@@ -93,20 +87,13 @@
         call_us=us("call_ms", 3.0), check_us=us("check_ms", 5.0),
         loss=top.number("loss", 0.0, most=0.9), retry_us=us("retry_ms", 500.0),
         refuse=top.number("refuse", 0.0, most=1.0),
-        cuts=tuple(_span(t, "agent", agents) for t in top.tables("cut", needed=False)),
-        downs=tuple(_span(t, "router", routers) for t in top.tables("down", needed=False)),
+        cuts=tuple(span_from(t, "agent", agents) for t in top.tables("cut", needed=False)),
+        downs=tuple(span_from(t, "router", routers) for t in top.tables("down", needed=False)),
     )  # fmt: skip
     top.end()
     return plan
 
 
-def _span(table: Table, name: str, count: int) -> Span:
-    at_us, for_us = (int(table.number(one, most=DURATION_MOST_S) * 1e6) for one in ("at_s", "for_s"))
-    span = Span(at_us, for_us, table.whole(name, most=count - 1))
-    table.end()
-    return span
-
-
 class Model:
     def __init__(self, plan: Plan) -> None:
         self.plan, self.env, self.chance = plan, simpy.Environment(), random.Random(plan.seed)
@@ -123,7 +110,6 @@
         self.committed_us: dict[int, int] = {0: 0}
         self.away: dict[int, set[str]] = {}  # by epoch: those cut off or down at some time until they had it
         self.applied: dict[tuple[str, int], int] = {}
-        self.pending = False
         self.ends: dict[str, int] = {"committed": 0, "aborted": 0}
         self.stale_most = 0
         self.served_old = 0.0  # calls taken under an epoch that was not the committed one
--- a/maplestile/model/rollout.py
+++ b/maplestile/model/rollout.py
@@ -36,19 +36,13 @@
 from maplestile.control.decide import Rules, Watcher, Word
 from maplestile.control.state import ACTIONS, ACTIVE, Control, Lease, Phase, Stage, budget_of
 from maplestile.faults.schedule import DURATION_MOST_S, ScheduleError
+from maplestile.model.experiment import Span, span_from
 from maplestile.refusal import Refusal
 from maplestile.table import Table
 
 LOOK_US, WORD_US = 50_000, 500_000  # as the steward looks and tells
 
 
-@dataclass(slots=True, frozen=True)
-class Span:
-    at_us: int
-    for_us: int
-    instance: int = 0
-
-
 @dataclass(slots=True, frozen=True)
 class Plan:
     seed: int
@@ -83,8 +77,8 @@
     def us(name: str, default: float, scale: float = 1000.0) -> int:
         return int(top.number(name, default, most=DURATION_MOST_S * 1000) * scale)
 
-    outages = [_span(table, instances) for table in top.tables("outage", needed=False)]
-    elections = [_span(table, 0) for table in top.tables("election", needed=False)]
+    outages = [span_from(table, "instance", instances) for table in top.tables("outage", needed=False)]
+    elections = [span_from(table) for table in top.tables("election", needed=False)]
     plan = Plan(
         seed=top.whole("seed", most=(1 << 63) - 1), instances=instances,
         agents=top.whole("agents", 3, least=1, most=instances),
@@ -99,13 +93,6 @@
     return plan
 
 
-def _span(table: Table, instances: int) -> Span:
-    at_us, for_us = (int(table.number(name, most=DURATION_MOST_S) * 1e6) for name in ("at_s", "for_s"))
-    span = Span(at_us, for_us, table.whole("instance", most=instances - 1) if instances else 0)
-    table.end()
-    return span
-
-
 class Model:
     def __init__(self, plan: Plan) -> None:
         self.plan, self.env, self.chance = plan, simpy.Environment(), random.Random(plan.seed)
@@ -205,7 +192,7 @@
 
     def _outage(self, outage: Span) -> simpy.events.ProcessGenerator:
         yield self.env.timeout(outage.at_us)
-        name = self.names[outage.instance]
+        name = self.names[outage.which]
         self.lost.add(name)
         self._out(name)
         yield self.env.timeout(outage.for_us)
--- a/maplestile/policy/follow.py
+++ b/maplestile/policy/follow.py
@@ -72,7 +72,6 @@
     standing: Standing = Standing.WAITING
     reason: str = ""  # of a refusal
     pledge: Pledge | None = None
-    pauses: int = 0
 
     def __post_init__(self) -> None:
         self.ticked_us = self.since_us
@@ -81,7 +80,7 @@
         """Called now and then, and before anything is decided."""
         gap_us, self.ticked_us = now_us - self.ticked_us, now_us
         if gap_us > self.rules.pause_us:
-            self.since_us, self.pauses = now_us, self.pauses + 1
+            self.since_us = now_us
             if self.standing in (Standing.CURRENT, Standing.STALE):
                 self.standing = Standing.WAITING
         if self.standing is Standing.CURRENT and now_us - self.confirmed_us > self.rules.stale_us:
