--- a/maplestile/core.py
+++ b/maplestile/core.py
@@ -70,6 +70,12 @@
         ...
 
     def cancel(self, attempt: AttemptId) -> None: ...
+
+    def withhold(self, attempt: AttemptId) -> bool:
+        """Have it never begin: true if not a byte of it was out, and it is forgotten. One that has begun goes
+        on, but by no other connection."""
+        ...
+
     def order(self, tag: int, worker: str, function: str, copies: int) -> None: ...
     def unload(self, worker: str, function: str) -> None: ...
     def probe(self, tag: int, worker: str) -> None: ...
@@ -189,6 +195,30 @@
             self.open_bytes -= owed.request.bytes()
             self.counters["requests.withdrawn"] += 1
             self.give(api.CallExpired(call))
+            self._withhold(call, owed.attempts)  # where the rules let nothing be called off
+
+    def client_gone(self, call: int) -> None:
+        """The client has closed its connection, or only its side of it: nothing more begins for this call,
+        while what is out may still end, and is answered in case somebody reads it."""
+        if (owed := self.open.get(call)) is not None:
+            self.counters["requests.client_gone"] += 1
+            self.give(api.ClientGone(call))
+            self._withhold(call, owed.attempts)
+
+    def leave(self, by_us: int) -> None:
+        """The process ends then: all that it has taken, and still takes, has its answer by that time."""
+        self.leave_us = by_us
+        self.at(by_us, self._end_all)
+
+    def _end_all(self) -> None:
+        for call in list(self.open):
+            self._end(call)
+
+    def _withhold(self, call: int, attempts: int) -> None:
+        """Guards against an attempt that waits for its connection and begins long after its client left."""
+        for attempt in ((call, number) for number in range(attempts)):
+            if attempt in self.flights and self.pool.withhold(attempt):
+                self.attempt_ended(attempt, Result.MOOT)
 
     # What those who run it ask.
 
@@ -368,8 +398,11 @@
         """Guards the rule of one answer in time, should the module not have answered by the deadline."""
         if call in self.open:
             self.counters["requests.overdue"] += 1
-            self._fail(call)
-            self.give(api.CallExpired(call))
+            self._end(call)
+
+    def _end(self, call: int) -> None:
+        self._fail(call)
+        self.give(api.CallExpired(call))
 
     def _fail(self, call: int) -> None:
         owed = self.open.get(call)
--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -19,8 +19,7 @@
 LEARN = 0.2  # share of a new sample in every running mean: about the last ten samples count
 HEAT_KEEPS, PRIOR_CALLS = 1.5, 15.0  # keep-alives in which heat halves; other calls assumed at the start
 SEAT, SEAT_FILL = 0.33, 0.5  # a function's most at a seat: of a mean worker's load, of the lanes by the fleet
-NEAR = 8  # workers looked at when no drawn seat fits
-OVERFLOW, CHOICES = 2, 3  # workers past the seats that an overflow may reach; seats drawn for one choice
+NEAR, OVERFLOW, CHOICES = 8, 2, 3  # workers looked at when no drawn seat fits, past the seats; seats drawn
 PRESUMED = 2.0  # calls of the other dispatchers expected at a seat in one keep-alive, to presume a copy there
 HOLD_SHARE = 0.5  # of the fleet's memory: what all caching lists may hold, the rest is for working copies
 LOAD_PART, LOADS_EACH = 0.06, 4  # loads that all may have under way: of that part, at most for each worker
@@ -52,17 +51,15 @@
         self.now, self.out, self.memory = 0, list[api.Action](), dict(settings.kind_memory_mb)
         self.random, self.salt = Random(seed), digest(str(seed))
         self.work: dict[str, float] = {}  # learned service time by class
-        self.rows: dict[str, Row] = {}
+        self.rows, self.workers = dict[str, Row](), dict[str, Worker]()
         self.lists: tuple[dict[str, Row], ...] = ({}, {}, {})
-        self.workers: dict[str, Worker] = {}
         self.zones: dict[str, Zone] = {}
         self.calls: dict[int, Call] = {}
         self.attempts: dict[tuple[int, int], tuple[Call, Attempt]] = {}
         self.timers: dict[int, Callable[[], object]] = {}
-        self.token, self.version, self.capacity, self.late, self.pace = 0, 0, 1, 0.0, 0.0
+        self.token, self.version, self.listed_us, self.capacity, self.late, self.pace = 0, 0, 0, 1, 0.0, 0.0
         self.loads: dict[Copy, Worker] = {}
         self.weights, self.retries, self.heat, self.heat_us, self.began_us = 0.0, RETRY_BURST, 0.0, 0, 0
-        self.listed_us = 0
         self.arrivals, self.orders = Window(0), Window(0)  # `adopt` sizes them; orders count at the edge, too
         self.adopt(settings)
 
@@ -86,6 +83,7 @@
             case api.WorkerList(): self.on_list(event)
             case api.PolicyChanged(settings): self.adopt(settings)
             case api.CallExpired(): self.close(self.calls.get(event.call))
+            case api.ClientGone() if event.call in self.calls: self.abandon(self.calls[event.call])
             case api.StreamStarted() if event.call in self.calls: self.calls[event.call].streaming = True
         return self.out
 
@@ -295,13 +293,13 @@
 
     def may_send(self, call: Call, worker: Worker) -> bool:
         """One gate before every send, retry and second copy: rules 1 to 4."""
-        if call.streaming or not self.running(worker) or self.now >= call.due_us: return False
+        if call.over(self.now) or not self.running(worker): return False
         row, paused_us = call.row, max(worker.full_us.get(call.group, 0), worker.full_us.get("", 0))
         room = self.now >= worker.laden_us or self.is_warm(row, worker) or row.copy(worker).loading_us
         if self.now < paused_us or not room: return False
         twice = call.outstanding() and not call.rules.may_duplicate
-        barred = call.attempts and (twice or not self.repeatable(call, worker))
-        return not barred and self.ramp_allows(worker, call)
+        if call.attempts and (twice or not self.repeatable(call, worker)): return False
+        return self.ramp_allows(worker, call.rules, row.service_us, bool(call.attempts))
 
     def repeatable(self, call: Call, worker: Worker) -> bool:
         """Rule 1: where a call that went out before may ever go again."""
@@ -317,26 +315,26 @@
         same = first.zone == entry.zone if kind.scope is Scope.ZONE else first.cell == entry.cell
         return self.now + call.rules.tick_us < call.kept_us() and (same or kind.scope is Scope.ALL)
 
-    def ramp_allows(self, worker: Worker, call: Call) -> bool:
-        """Rule 4 for the fleet: each dispatcher lets a random part of its calls through, and no more than its
-        share plus one call. One turned away elsewhere stays with the warm: a storm of them would come."""
-        age_us, rules = self.now - worker.entry.started_us, call.rules
-        if not worker.entry.started_us or age_us >= rules.cold_us: return True
-        # The share of its capacity that it surely has: it rises evenly at the slowest.
-        share = rules.cold_share + (1 - rules.cold_share) * max(0, age_us) / rules.cold_us
-        part = RAMP_SAFETY * rules.fall_multiple * share
-        if call.attempts or mixed(self.salt ^ worker.salt, digest(str(call.id))) > part: return False
-        rate = self.rate() * worker.entry.weight / self.weights
-        return worker.sends.total(self.now) <= part * rules.fall_us * rate
+    def ramp_allows(self, worker: Worker, rules: api.Settings, work_us: float, further: bool = False) -> bool:
+        """Rule 4 for the fleet: each dispatcher sends a part of its calls, rounded by a draw of its own for
+        each span, and no call more. One turned away elsewhere stays with the warm, against storms."""
+        risen = max(0, self.now - worker.entry.started_us) / rules.cold_us  # evenly, at the slowest
+        if not worker.entry.started_us or risen >= 1: return True
+        part = RAMP_SAFETY * rules.fall_multiple * (rules.cold_share + (1 - rules.cold_share) * risen)
+        usual_us = self.rate() * rules.fall_us * worker.entry.weight / self.weights
+        drawn = mixed(self.salt ^ worker.salt, digest(str((self.now + self.salt) // rules.fall_us)))
+        return not further and worker.sends.total(self.now) + drawn * work_us < part * max(work_us, usual_us)
 
     def order(self, row: Row, worker: Worker, renew: bool = False) -> bool:
         """The one gate of every order to load: rules 3 and 5."""
         ration = self.set.orders_free + self.set.orders_per_call * self.arrivals.total(self.now)
         rationed = self.set.order_window_us > 0 and self.orders.total(self.now) + 1 > ration
-        if not self.set.may_order or rationed or not self.running(worker): return False
+        ramped = self.running(worker) and self.ramp_allows(worker, self.set, row.service_us)
+        if not self.set.may_order or rationed or not ramped: return False
         if renew: row.copy(worker).used_us = self.now
         else: self.load_begins(row, worker, ordered=True)
         self.orders.add(self.now)
+        worker.sends.add(self.now, row.service_us)
         self.out.append(api.Order(worker.entry.worker, row.function, 1))
         return True
 
@@ -359,7 +357,7 @@
         self.attempts[call.id, attempt.number] = (call, attempt)
         row.waiting.pop(call.id, None)
         for busy in (copy, row, worker): busy.busy += 1
-        worker.sends.add(self.now, self.work.get(call.kind.name, row.service_us))
+        worker.sends.add(self.now, row.service_us)
         self.out.append(api.Send(call.id, worker.entry.worker, left_us, call.rules.epoch, kept_us))
         patience_us = SILENT_SERVICES * self.expected(call) + (row.load_us if loads else 0)
         if self.now + patience_us < call.due_us:  # else over by then: a timer would only hold the call
@@ -399,8 +397,7 @@
         row, worker, copy, name = call.row, attempt.worker, call.row.copy(attempt.worker), call.kind.name
         stood = not attempt.loads if event.warmth is Warmth.UNTOLD else event.warmth is Warmth.STOOD
         slow = stood and event.elapsed_us > SLOW_MOVES * self.expected(call)
-        late = self.now > call.since_us + call.kind.aim_us
-        self.learn_late(call, late)
+        self.learn_late(call, self.now > call.since_us + call.kind.aim_us)
         if stood:
             usual_us = call.hint_us or row.service_us
             worker.pace += LEARN * (math.log(max(1, event.elapsed_us) / usual_us) - worker.pace)
@@ -421,7 +418,7 @@
     def again(self, call: Call, result: Result) -> None:
         """A further attempt, out of the retry budget; an unsafe call that may have run is at its end."""
         unsafe, unknown = call.kind.effect is Effect.UNSAFE, call.row.errors >= UNKNOWN_ERRORS
-        if unsafe and call.ran() or unknown: self.finish(call)
+        if unsafe and call.ran() or unknown or call.abandoned: self.finish(call)
         elif result is Result.MISS or self.retries < 1.0: self.hold(call)
         else:
             self.retries -= 1.0
@@ -476,6 +473,10 @@
             zone.lost, self.listed_us, self.version = not zone.lost, self.now, self.version + 1
             self.out.append(api.Log(f"zone {zone.name} {'is silent' if zone.lost else 'is heard again'}"))
 
+    def abandon(self, call: Call) -> None:
+        call.abandoned = True  # nothing more begins for it; what is out may end, and is its answer
+        if not call.outstanding(): self.finish(call)
+
     def finish(self, call: Call) -> None:
         if not call.open or call.streaming: return
         if self.now >= min(call.due_us, call.since_us + call.kind.aim_us): self.learn_late(call, True)
--- a/maplestile/fleet.py
+++ b/maplestile/fleet.py
@@ -1,5 +1,6 @@
 """The list of runners as told so far, by start-up events or by whole lists, with their addresses."""
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -7,6 +8,8 @@
 from maplestile import interface as api
 
 Address = tuple[str, int]
+SERIALS = 1 << 32  # serial numbers there are
+LEAST_WEIGHT = 0.01
 STATES = {
     "Ready": api.WorkerState.RUNNING,
     "Terminating": api.WorkerState.DRAINING,
@@ -44,9 +47,16 @@
         except (TypeError, ValueError, AttributeError) as fault:
             raise FleetError(f"known: {fault}") from None
 
-    def apply_whole(self, version: int, listed: Iterable[tuple[api.WorkerEntry, Address]]) -> bool:
-        """A whole list; true if it was news. A late reply to an older query must not bring back the dead."""
-        if version <= self.version:
+    def behind(self, serial: int) -> bool:
+        """A serial is older than the list at hand, in the serial numbers of RFC 1982: they wrap."""
+        return self.version >= 0 and 0 < (self.version - serial) % SERIALS < SERIALS // 2
+
+    def apply_whole(
+        self, version: int, listed: Iterable[tuple[api.WorkerEntry, Address]], anew: bool = False
+    ) -> bool:
+        """A whole list; true if it was news. A late reply to an older query must not bring back the dead;
+        with `anew` the numbers have begun again, or the list at hand lacked something."""
+        if not anew and (version == self.version or self.behind(version)):
             return False
         self.version = version
         self.entries.clear()
@@ -55,6 +65,10 @@
             self._put(entry, address)
         return True
 
+    def drain(self, drained: Iterable[str]) -> None:
+        for uid in drained:
+            self.entries[uid] = replace(self.entries[uid], state=api.WorkerState.DRAINING)
+
     def replace(self, other: "Fleet") -> None:
         """The list of another configuration; its number never falls, since the numbers go on."""
         self.version = max(self.version, other.version)
@@ -65,7 +79,10 @@
             self.entries.pop(entry.worker, None)
             self.addresses.pop(entry.worker, None)
         else:
-            self.entries[entry.worker], self.addresses[entry.worker] = entry, address
+            # A weight of none, or of less, would end every draw among seats: it is a very small one.
+            weight = entry.weight if LEAST_WEIGHT < entry.weight < math.inf else LEAST_WEIGHT
+            self.entries[entry.worker] = replace(entry, weight=weight)
+            self.addresses[entry.worker] = address
 
     def shown(self) -> tuple[api.WorkerEntry, ...]:
         """The list as decisions and pool are to see it: who is suspended drains, whatever was told."""
--- a/maplestile/interface.py
+++ b/maplestile/interface.py
@@ -146,6 +146,13 @@
     call: int
 
 
+@dataclass(slots=True, frozen=True)
+class ClientGone:
+    """Its client has closed the connection: nothing more begins for the call; what is out may still end."""
+
+    call: int
+
+
 @dataclass(slots=True, frozen=True)
 class StreamStarted:
     call: int
@@ -206,6 +213,7 @@
     WorkerList
     | CallArrived
     | CallExpired
+    | ClientGone
     | StreamStarted
     | AttemptEnded
     | ProbeEnded
--- a/maplestile/limits.py
+++ b/maplestile/limits.py
@@ -24,6 +24,8 @@
     # Unread answers of one client: 4 s of one that reads 1 MB a second, about as long as it waits for any.
     client_write_bytes: int = 4 << 20
     all_write_bytes: int = 16 << 20  # and of all clients together
+    client_last_us: int = 4_000_000  # for a client that closed, or was closed on, to read its last answers
+    client_linger_us: int = 100_000  # to read away what comes behind a message that cannot be followed
     accept_burst: int = 16  # connections accepted in one go; each takes a descriptor before it is looked at
     accept_queue: int = 1024  # connections that wait in the system to be accepted
     open_requests: int = 20_000
@@ -65,6 +67,11 @@
     names_poll_us: int = 250_000
     names_timeout_us: int = 150_000
     names_read_bytes: int = 16 * KB  # a reply holds 8,000 at the most
+    # To find the hosts that a list has no room for: the list tells drains, which bind 2 s later.
+    names_complete_us: int = 600_000
+    # Lists that were overtaken come late by some seconds, as from a server behind the others. One that has
+    # numbered its lists anew stays behind.
+    names_restart_us: int = 12_000_000
     # A new process is to say yes within 6 s of its start, of which the start itself takes one or two.
     names_wait_us: int = 3_500_000
     # What the other process of an upgrade was told or has done: a small part of the grace of 2 s.
--- a/maplestile/net/http.py
+++ b/maplestile/net/http.py
@@ -48,7 +48,8 @@
         self.counters[f"{self.front}.{what}"] += 1
 
     async def start(self, host: str, port: int) -> Listener:
-        return await listen(host, port, self._serve, READ_BYTES, self.bounds.accept_burst, QUEUE)
+        burst = self.bounds.accept_burst
+        return await listen(host, port, self._serve, lambda: asyncio.StreamReader(READ_BYTES), burst, QUEUE)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.connections >= self.bounds.connections and not self._make_room():
--- a/maplestile/net/listen.py
+++ b/maplestile/net/listen.py
@@ -3,16 +3,21 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from typing import Any
 
-Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+Reader = Callable[[], asyncio.StreamReader]
+Serve = Callable[[Any, asyncio.StreamWriter], Awaitable[None]]  # handed what `Reader` made
 FULL_S = 0.01  # until a connection is accepted for which there was no descriptor
 
 
 class Listener:
-    def __init__(self, listener: socket.socket, serve: Serve, read_bytes: int) -> None:
-        self.socket, self.serve, self.read_bytes = listener, serve, read_bytes
+    def __init__(self, listener: socket.socket, serve: Serve, reader: Reader) -> None:
+        self.socket, self.serve, self.reader = listener, serve, reader
         self.server: asyncio.Server | None = None
 
+    def protocol(self) -> asyncio.StreamReaderProtocol:
+        return asyncio.StreamReaderProtocol(self.reader(), self.serve)
+
     @property
     def address(self) -> tuple[str, int]:
         host, port = self.socket.getsockname()[:2]
@@ -24,6 +29,8 @@
 
     async def finish(self) -> None:
         """Accept all that waits, and close with the queue empty: what a closed queue holds is reset."""
+        if self.socket.fileno() < 0:
+            return
         asyncio.get_running_loop().remove_reader(self.socket)
         while True:
             try:
@@ -37,14 +44,12 @@
         self.close()
 
     async def _adopt(self, peer: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
-        reader = asyncio.StreamReader(limit=self.read_bytes)
         peer.setblocking(False)
-        await loop.connect_accepted_socket(lambda: asyncio.StreamReaderProtocol(reader, self.serve), peer)
+        await asyncio.get_running_loop().connect_accepted_socket(self.protocol, peer)
 
 
 async def listen(
-    host: str, port: int, serve: Serve, read_bytes: int, burst: int, queue: int, shared: bool = False
+    host: str, port: int, serve: Serve, reader: Reader, burst: int, queue: int, shared: bool = False
 ) -> Listener:
     """Accept at most `burst` connections in one go, while `queue` may wait; a `shared` address may be
     listened to by another process, too."""
@@ -56,10 +61,11 @@
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     if shared:
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-    listener = Listener(raw, serve, read_bytes)
+    listener = Listener(raw, serve, reader)
     try:
         raw.bind(local)
-        listener.server = await asyncio.start_server(serve, sock=raw, limit=read_bytes, backlog=burst)
+        loop = asyncio.get_running_loop()
+        listener.server = await loop.create_server(listener.protocol, sock=raw, backlog=burst)
     except OSError:
         raw.close()
         raise
--- a/maplestile/net/names.py
+++ b/maplestile/net/names.py
@@ -6,8 +6,10 @@
 import secrets
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 
 from maplestile.fleet import Address, Fleet
+from maplestile.interface import WorkerState
 from maplestile.limits import Limits
 from maplestile.net import reads
 from maplestile.wire import dns
@@ -39,13 +41,18 @@
 
 
 class Names:
+    """Asks one name server; `before` asks the one that was told before it, until this one has answered."""
+
     def __init__(
         self, server: Address, fleet: Fleet, limits: Limits, counters: Counter[str],
-        changed: Callable[[], None],
+        changed: Callable[[], None], starved: Callable[[], object] = lambda: None,
+        before: asyncio.Task[None] | None = None,
     ) -> None:  # fmt: skip
         self.server, self.fleet, self.limits, self.counters = server, fleet, limits, counters
-        self.changed = changed
+        self.changed, self.starved, self.before = changed, starved, before
         self.heard = False  # a usable answer has come
+        self.whole = True  # the list at hand is all that the server told under its number
+        self.behind_s: float | None = None  # since when all that the server tells is older than that
         start = secrets.randbelow(1 << 16)  # not to be guessed: a foreign reply must not fit
         self.ids = (n & 0xFFFF for n in itertools.count(start))
         self.socket = Socket(counters)
@@ -56,22 +63,26 @@
         try:
             await self._run()
         finally:
+            self.end_before()
             if self.transport is not None:
                 self.transport.close()
 
+    def end_before(self) -> None:
+        if self.before is not None:
+            self.before.cancel()
+            self.before = None
+
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         failures = 0
         while True:
             began = loop.time()
             try:
-                if self.transport is None:
-                    self.transport, _ = await loop.create_datagram_endpoint(
-                        lambda: self.socket, remote_addr=self.server
-                    )
-                    reads.bound(self.transport, self.limits.names_read_bytes)
+                if self.transport is None or self.transport.is_closing():
+                    await self._open()
                 await self._poll()
                 self.heard, failures = True, 0
+                self.end_before()
             except (dns.DnsError, TimeoutError, OSError) as fault:
                 failures += 1
                 self.counters["names.failed"] += 1
@@ -82,14 +93,84 @@
                 continue
             await asyncio.sleep(max(0.01, began + self.limits.names_poll_us / 1e6 - loop.time()))
 
+    async def _open(self) -> None:
+        try:
+            self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+                lambda: self.socket, remote_addr=self.server
+            )
+        except OSError as fault:
+            if fault.errno in reads.NO_DESCRIPTOR:  # clients hold them all, and need no list of their own
+                self.starved()
+            raise
+        reads.bound(self.transport, self.limits.names_read_bytes)
+
     async def _poll(self) -> None:
         reply = await self._ask(LIST_NAME, dns.SRV)
         if reply.serial is None:
             raise dns.DnsError("a list without its serial")
-        if reply.serial <= self.fleet.version:
+        behind = self.fleet.behind(reply.serial)
+        if behind and not self._restarted():
+            self._obey_drains(reply)
+            return
+        self.behind_s = None
+        if behind:
+            self.counters["names.restarts"] += 1
+            log.warning("names: serials start anew, %d after %d", reply.serial, self.fleet.version)
+        elif reply.serial == self.fleet.version and self.whole:
             return
         await self._complete(reply)
-        if self.fleet.apply_whole(reply.serial, list(dns.entries(reply))):
+        self._take(reply, reply.serial, behind or reply.serial == self.fleet.version)
+
+    def _restarted(self) -> bool:
+        """Guards against a server that numbers its lists anew, and would never be heard again; a stale one,
+        or a reply that was overtaken, is behind only for some seconds."""
+        now_s = asyncio.get_running_loop().time()
+        if self.behind_s is None:
+            self.behind_s = now_s
+        self.counters["names.behind"] += 1
+        return now_s - self.behind_s >= self.limits.names_restart_us / 1e6
+
+    def _obey_drains(self, reply: dns.Reply) -> None:
+        """Of a list that is behind only what cannot have been taken back: a process that drains goes on to
+        its end. What else it tells may have changed since."""
+        drained = []
+        for target in reply.targets:
+            try:
+                told, _ = dns.entry(reply, target)
+            except dns.DnsError:
+                continue
+            known = self.fleet.entries.get(told.worker)
+            if known is None or known.started_us != told.started_us:
+                continue  # another process under that name
+            if known.state is WorkerState.RUNNING and told.state is WorkerState.DRAINING:
+                drained.append(told.worker)
+        if drained:
+            self.fleet.drain(drained)
+            self.whole = False  # the next list that is not behind says how it is
+            self.counters["names.drains_behind"] += len(drained)
+            self.changed()
+
+    def _take(self, reply: dns.Reply, serial: int, anew: bool) -> None:
+        """Take a list over. Of a host that could not be found, or whose records are spoilt, what was told
+        before holds, but for its state: one host must not keep back the drains of all others."""
+        listed, lacking = [], list[str]()
+        for target in reply.targets:
+            try:
+                listed.append(dns.entry(reply, target))
+            except dns.DnsError as fault:
+                lacking.append(str(fault))
+                uid = target.name.split(".")[0]
+                if (known := self.fleet.entries.get(uid)) is not None:
+                    state = WorkerState.DRAINING if target.priority else known.state
+                    listed.append((replace(known, state=state), self.fleet.addresses[uid]))
+        if lacking:
+            self.counters["names.incomplete"] += 1
+            log.warning("names: list %d lacks %d hosts: %s", serial, len(lacking), lacking[0])
+        before = self.fleet.version, dict(self.fleet.entries), dict(self.fleet.addresses)
+        if not self.fleet.apply_whole(serial, listed, anew):
+            return  # overtaken while its hosts were looked for
+        self.whole = not lacking
+        if (self.fleet.version, self.fleet.entries, self.fleet.addresses) != before:
             self.counters["names.lists"] += 1
             self.changed()
 
@@ -105,10 +186,14 @@
             host = reply.hosts.setdefault(name.lower(), dns.Host())
             host.address, host.texts = host.address or told.address, host.texts or told.texts
 
-        ends = await asyncio.gather(*(fill(*lacking) for lacking in reply.lacking()), return_exceptions=True)
-        for fault in ends:  # an incomplete list never replaces a good one
-            if isinstance(fault, BaseException):
-                raise fault
+        asking = [asyncio.ensure_future(fill(*lacking)) for lacking in reply.lacking()]
+        if asking:
+            try:
+                await asyncio.wait(asking, timeout=self.limits.names_complete_us / 1e6)
+            finally:
+                for one in asking:
+                    one.cancel()
+                await asyncio.gather(*asking, return_exceptions=True)
 
     async def _ask_again(self, name: str, kind: int) -> dns.Reply:
         for _ in range(HOST_TRIES - 1):
@@ -128,6 +213,8 @@
             self.transport.sendto(dns.query(id_, name, kind))
             async with asyncio.timeout(self.limits.names_timeout_us / 1e6):
                 found: dns.Reply = await reply
-                return found
+            if found.question not in (None, (name.lower(), kind)):
+                raise dns.DnsError(f"an answer to another question: {found.question}")
+            return found
         finally:
             del self.socket.waiting[id_]
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -5,12 +5,13 @@
 import contextlib
 import fcntl
 import logging
+import socket
 import termios
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from maplestile.core import Core, Outcome
+from maplestile.core import Core, Outcome, Verdict
 from maplestile.interface import Settings
 from maplestile.limits import Limits
 from maplestile.net import reads
@@ -18,10 +19,13 @@
 from maplestile.wire import jsonrpc as wire
 
 log = logging.getLogger(__name__)
+ENDED = 7, 8  # states of a TCP connection whose other side has ended it: CLOSE, CLOSE_WAIT
+LOOK_S = 0.05  # between two looks whether the client of a connection that is not read any more has gone
 
 
 @dataclass(slots=True, eq=False)
 class Client:
+    reader: reads.Inbox
     writer: asyncio.StreamWriter
     framer: wire.Framer
     since_us: int  # of the connect, or of the first byte of the message that is not whole yet
@@ -34,27 +38,39 @@
     parted: bool = False  # this side of the connection has ended
 
     def unread(self) -> int:
-        """What waits in the system to be read."""
+        """What waits to be taken up, here or in the system."""
         waiting = array.array("i", [0])
-        fcntl.ioctl(self.writer.get_extra_info("socket").fileno(), termios.FIONREAD, waiting)
-        return waiting[0]
+        with contextlib.suppress(OSError):  # it has just broken, or the system does not tell
+            fcntl.ioctl(self.writer.get_extra_info("socket").fileno(), termios.FIONREAD, waiting)
+        return self.reader.held + waiting[0]
+
+    def look(self) -> None:
+        """Guards against a close that stands behind much that is yet to be read, and is found late there."""
+        with contextlib.suppress(OSError):  # where the system does not tell
+            link = self.writer.get_extra_info("socket")
+            if link.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in ENDED:
+                self.reader.end()
 
 
 class Platform:
     def __init__(
-        self, core: Core, limits: Limits, counters: Counter[str], received: Callable[[], int],
+        self, core: Core, limits: Limits, counters: Counter[str], came: Callable[[], int],
         ready: Callable[[], bool],
     ) -> None:  # fmt: skip
         self.core, self.limits, self.counters = core, limits, counters
-        self.received, self.ready = received, ready
+        self.came, self.ready = came, ready
         self.known = wire.Known.of(core.settings)
         self.clients: dict[Client, None] = {}  # the one that was silent longest first
-        self.closing: set[Client] = set()  # they have yet to read answers
+        self.closing: dict[Client, None] = {}  # they have yet to read answers; the first to close first
 
     async def start(self, host: str, port: int, shared: bool) -> Listener:
         limits = self.limits
+
+        def inbox() -> reads.Inbox:
+            return reads.Inbox(limits.client_read_bytes, self.came)
+
         burst, queue = limits.accept_burst, limits.accept_queue
-        return await listen(host, port, self._serve, limits.client_read_bytes, burst, queue, shared)
+        return await listen(host, port, self._serve, inbox, burst, queue, shared)
 
     def adopt(self, settings: Settings) -> None:
         """Another policy: other classes may be called."""
@@ -78,28 +94,34 @@
                 client.parted = True
                 client.writer.write_eof()
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if len(self.clients) >= self.limits.client_connections and not self._make_room():
+    async def _serve(self, reader: reads.Inbox, writer: asyncio.StreamWriter) -> None:
+        held = len(self.clients) + len(self.closing)
+        if held >= self.limits.client_connections and not self.make_room():
             self.counters["clients.turned_away"] += 1
             log.warning("client: turned away, %d connections are owed an answer", len(self.clients))
             writer.transport.abort()
             return
         reads.bound(writer.transport, self.limits.client_read_bytes)
         now = self.core.clock()
-        client = Client(writer, wire.Framer(self.limits), now, stirred_us=now)
+        client = Client(reader, writer, wire.Framer(self.limits), now, stirred_us=now)
         self.clients[client] = None
+        reader.on_end = lambda: self._ended(client)
         self.counters["clients.connections"] += 1
         try:
-            await self._read_all(client, reader)
-            # A client that only ends its own side still waits for what it asked.
+            await self._read_all(client)
+            # A client that only ends its own side still waits for what is out.
             await self._all_answered(client)
         except wire.FramingError as fault:
             self.counters["clients.malformed"] += 1
             log.warning("client: %s; connection closed", fault)
             self._write(client, wire.error(None, wire.PARSE_ERROR, str(fault)))
             await self._all_answered(client)  # what was taken before is still owed
+            await self._read_away(client)
         except OSError as fault:
             log.debug("client: %r", fault)
+        except asyncio.CancelledError:  # the process ends now
+            writer.transport.abort()
+            raise
         finally:
             self.clients.pop(client, None)
             for call in list(client.calls.values()):
@@ -107,19 +129,47 @@
             client.calls.clear()
             writer.close()
             if writer.transport.get_write_buffer_size():
-                self.closing.add(client)
-                with contextlib.suppress(OSError):
-                    await writer.wait_closed()
-                self.closing.discard(client)
+                await self._let_read(client)
 
-    async def _read_all(self, client: Client, reader: asyncio.StreamReader) -> None:
-        while data := await self._read(client, reader):
+    async def _let_read(self, client: Client) -> None:
+        """Guards the descriptors, and the end of the process, against one that never reads its answers."""
+        self.closing[client] = None
+        try:
+            with contextlib.suppress(OSError, TimeoutError):
+                async with asyncio.timeout(self.limits.client_last_us / 1e6):
+                    await client.writer.wait_closed()
+        finally:
+            client.writer.transport.abort()
+            self.closing.pop(client, None)
+
+    async def _read_away(self, client: Client) -> None:
+        """Guards the answers just given: the system answers what nobody reads with a reset, and that would
+        take them along."""
+        if client.writer.is_closing() or client.reader.ended:
+            return
+        client.parted = True
+        client.writer.write_eof()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.limits.client_linger_us / 1e6):
+                while await client.reader.take(self.limits.client_read_bytes):
+                    pass
+
+    def _ended(self, client: Client) -> None:
+        """The client has closed: it is told apart from one that waits, at once, for all that it asked."""
+        if not client.writer.is_closing():
+            for number in list(client.calls.values()):
+                self.core.client_gone(number)
+
+    async def _read_all(self, client: Client) -> None:
+        while data := await self._read(client):
             if client.writer.is_closing():  # it made room: what crossed that is sent again by its client
                 return
             if client.parted:  # the same
                 self.counters["clients.crossed"] += 1
                 continue
-            received_us, whole = self.received(), 0
+            received_us, whole = client.reader.came_us, 0
+            if client.reader.full:
+                client.look()
             for whole, view in enumerate(client.framer.feed(data), 1):
                 client.greeted = True
                 self._message(client, view, received_us)
@@ -132,23 +182,26 @@
                 client.since_us = received_us
                 self._stirred(client)
 
-    async def _read(self, client: Client, reader: asyncio.StreamReader) -> bytes:
+    async def _read(self, client: Client) -> bytes:
         if client.greeted and not client.framer.rest:  # it may stay for good, and ask again or not
-            data = await reader.read(self.limits.client_read_bytes)
+            data = await client.reader.take(self.limits.client_read_bytes)
             client.since_us = self.core.clock()
             return data
         # Guards the descriptors against connections that say nothing, or half a message, for ever.
         left_us = client.since_us + self.limits.client_message_us - self.core.clock()
         try:
             async with asyncio.timeout(left_us / 1e6):
-                return await reader.read(self.limits.client_read_bytes)
+                return await client.reader.take(self.limits.client_read_bytes)
         except TimeoutError:
             raise wire.FramingError("no whole message in time") from None
 
     async def _all_answered(self, client: Client) -> None:
         while client.calls and not client.writer.is_closing():
             client.idle.clear()
-            await client.idle.wait()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LOOK_S):
+                    await client.idle.wait()
+            client.look()
 
     def _stirred(self, client: Client) -> None:
         client.stirred_us = self.core.clock()
@@ -156,17 +209,24 @@
             del self.clients[client]
             self.clients[client] = None
 
-    def _make_room(self) -> bool:
-        """At the cap one that is owed nothing makes room: the first that has had its time to ask and never
-        did, or else the one silent longest of those that asked, or else the first of the newcomers."""
+    def make_room(self) -> bool:
+        """At the cap one that is owed nothing makes room: one that this side has ended, or else the first
+        that has had its time to ask and never did, or else the one silent longest of those that asked, or
+        else the first of the newcomers."""
         since_us = self.core.clock() - self.limits.client_grace_us
         idle = [client for client in self.clients if not client.calls]
         silent = (client for client in idle if not client.greeted and client.since_us < since_us)
-        oldest = next(silent, None) or next((c for c in idle if c.greeted), idle[0] if idle else None)
-        if oldest is None:
+        ended = next((client for client in idle if client.parted), None)
+        asked = (client for client in idle if client.greeted)
+        oldest = ended or next(silent, None) or next(asked, None) or next(iter(idle), None)
+        if oldest is None and self.closing:
+            oldest = next(iter(self.closing))  # it has its answers, and does not read them
+            del self.closing[oldest]
+            oldest.writer.transport.abort()
+        elif oldest is None:
             return False
         self.counters["clients.made_room"] += 1
-        del self.clients[oldest]
+        self.clients.pop(oldest, None)
         oldest.writer.close()
         return True
 
@@ -193,6 +253,10 @@
             raise wire.RpcError(wire.INVALID_REQUEST, "an id that is open already")
         if len(client.calls) >= self.limits.client_streams:
             raise wire.RpcError(wire.REFUSED, "too many open requests on one connection", call.id)
+        if client.reader.ended:  # whatever would begin for it now, nobody waits for it any more
+            self.counters["clients.gone_before"] += 1
+            self._write(client, wire.answer(call.id, Outcome(Verdict.REFUSED)))
+            return
         client.calls[call.id] = 0
         client.tags[call.request.tag] = call.id
 
--- a/maplestile/net/reads.py
+++ b/maplestile/net/reads.py
@@ -1,6 +1,10 @@
-"""How much asyncio reads from a socket in one go."""
+"""How much asyncio reads from a socket in one go, and what is known of it before it is taken up."""
 
 import asyncio
+import errno
+from collections.abc import Callable
+
+NO_DESCRIPTOR = errno.EMFILE, errno.ENFILE
 
 
 def bound(transport: asyncio.BaseTransport, most: int) -> None:
@@ -10,3 +14,43 @@
     read takes a buffer of its full size and gives back what was not filled; with large ones the heap grew by
     22 KB a second for as long as the process lived, though no more of it was in use."""
     transport.max_size = most  # type: ignore[attr-defined]
+
+
+class Inbox(asyncio.StreamReader):
+    """A stream that tells at once that its peer has closed, though what came before is not taken up yet; and
+    from when on what is read can have waited."""
+
+    def __init__(self, limit: int, came: Callable[[], int]) -> None:
+        super().__init__(limit)
+        self.most = limit
+        self.came = came  # the earliest moment at which bytes found just now can have come
+        self.came_us = 0  # that of the bytes that were read last
+        self.full = False  # the last read took all it could, so more had come with it, perhaps, and waits
+        self.held = 0  # bytes read, and not taken up yet
+        self.ended = False
+        self.on_end: Callable[[], object] = lambda: None
+
+    def feed_data(self, data: bytes) -> None:  # type: ignore[override]
+        if not self.full:  # what a flood leaves in the system is as old as its first bytes
+            self.came_us = self.came()
+        self.full = len(data) >= self.most
+        self.held += len(data)
+        super().feed_data(data)
+
+    async def take(self, most: int) -> bytes:
+        data = await self.read(most)
+        self.held -= len(data)
+        return data
+
+    def feed_eof(self) -> None:
+        super().feed_eof()
+        self.end()
+
+    def set_exception(self, exc: Exception) -> None:
+        super().set_exception(exc)
+        self.end()
+
+    def end(self) -> None:
+        if not self.ended:
+            self.ended = True
+            self.on_end()
--- a/maplestile/net/runners.py
+++ b/maplestile/net/runners.py
@@ -50,6 +50,7 @@
     def __init__(self, limits: Limits, clock: Callable[[], int], counters: Counter[str]) -> None:
         super().__init__(limits, clock, counters)
         self.tasks: dict[Connection, asyncio.Task[None]] = {}
+        self.starved: Callable[[], object] = lambda: None  # no descriptor is left
 
     def dial(self, connection: Connection) -> None:
         self.tasks[connection] = asyncio.get_running_loop().create_task(self._serve(connection))
@@ -81,6 +82,9 @@
             self.counters["runners.malformed"] += 1
             log.warning("runner %s: %s; connection condemned", connection.runner.uid, fault)
         except (OSError, TimeoutError) as fault:
+            if isinstance(fault, OSError) and fault.errno in reads.NO_DESCRIPTOR:
+                end = Result.MOOT  # clients hold all descriptors: that says nothing of the runner
+                self.starved()
             log.debug("runner %s: %r", connection.runner.uid, fault)
         finally:
             self.close(connection, end)
--- a/maplestile/node.py
+++ b/maplestile/node.py
@@ -8,7 +8,7 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -18,6 +18,7 @@
 from maplestile.core import Core
 from maplestile.garbage import Collector
 from maplestile.interface import ListKind
+from maplestile.net import reads
 from maplestile.net.listen import Listener
 from maplestile.net.names import Names
 from maplestile.net.platform import Platform
@@ -35,7 +36,8 @@
     from maplestile.policy.driver import Driver
 
 log = logging.getLogger("maplestile")
-SWEEP_S, DRAIN_LOOK_S = 1.0, 0.02
+SWEEP_S, DRAIN_LOOK_S, AGAIN_S = 1.0, 0.02, 0.2
+RELOADS = 10  # tries to read a configuration while there is no descriptor for its file
 
 
 def clock() -> int:
@@ -57,7 +59,7 @@
         self.runners = Runners(self.limits, clock, self.counters)
         seed, settings = self.config.seed, self.config.settings
         self.core = Core(settings, self.limits, seed, self.runners, clock, self._alarm, self.counters)
-        self.runners.core = self.core
+        self.runners.core, self.runners.starved = self.core, self._starved
         self.handle: asyncio.TimerHandle | None = None
         self.stopping = asyncio.Event()
         self.listening = False
@@ -130,29 +132,31 @@
         self.collector.start()
         operation = await self._operation()
         self._changed(ListKind.CACHED)
-        parts = [self._start(self._sweep())]
+        parts = [self._start(self._sweep)]
         if (plan := self.config.peers) is not None:
             from maplestile.net.peers import Peers
 
             self.peers = Peers(self.name, plan, self.config.seed, self.counters, self.core.probe)
             self.core.may_probe, self.core.probed = self.peers.may_probe, self.peers.probed
             self.peers.listed(self.fleet.entries)
-            parts.append(self._start(self.peers.run()))
+            parts.append(self._start(self.peers.run))
         self._ask_names()
         if self.handover is not None:
-            parts.append(self._start(self._follow(self.handover)))
+            parts.append(self._start(self._follow))
             await self._succeed(self.handover)
         if self.policy is not None:
             from maplestile.policy.driver import in_thread
 
             self.policy.elsewhere = in_thread
-            parts.append(self._start(self.policy.run()))
+            parts.append(self._start(self.policy.run))
             while not (self.policy.admits() or self.stopping.is_set()):
                 await asyncio.sleep(DRAIN_LOOK_S)
-        fronts = await self._listen()
-        self.listening = True
-        await self.stopping.wait()
-        await self._drain(fronts)
+        # One that was told to end before it could serve takes nobody in.
+        fronts = [] if self.stopping.is_set() else await self._listen()
+        if fronts:
+            self.listening = True
+            await self.stopping.wait()
+            await self._drain(fronts)
         for front in (*fronts, operation):
             if front is not None:
                 front.close()
@@ -162,40 +166,58 @@
         self.collector.stop()
         self.print_counters()
 
-    def _start(self, part: Coroutine[object, object, None]) -> asyncio.Task[None]:
-        task = asyncio.get_running_loop().create_task(part)
-        task.add_done_callback(self._task_ended)
-        return task
+    def _start(self, part: Callable[[], Awaitable[None]]) -> asyncio.Task[None]:
+        async def kept() -> None:
+            while True:
+                try:
+                    return await part()
+                except Exception:  # guards against a part that is gone for good over one bad moment
+                    self.counters["parts.failed"] += 1
+                    log.exception("a part has failed, and begins anew: %s", part.__qualname__)
+                    await asyncio.sleep(AGAIN_S)
+
+        return asyncio.get_running_loop().create_task(kept())
 
     def _ask_names(self) -> None:
-        """Ask the name server of the configuration from now on; queries to another one end."""
-        if self.asking is not None:
+        """Ask the name server of the configuration from now on. Another one is asked until this one has
+        answered: guards against a new one that says nothing, which would leave all drains untold."""
+        before, server = self.asking, self.config.dns
+        if self.names is not None and not self.names.heard and self.names.before is not None:
+            before, self.names.before = self.names.before, None  # this one never answered
+        if self.asking is not None and (self.asking is not before or server is None):
             self.asking.cancel()
-            self.asking = self.names = None
-        if (server := self.config.dns) is not None:
-            self.names = Names(server, self.fleet, self.limits, self.counters, self._changed)
-            self.asking = self._start(self.names.run())
-
-    def reload(self) -> None:
+        self.asking = self.names = None
+        if server is not None:
+            self.names = Names(
+                server, self.fleet, self.limits, self.counters, self._changed, self._starved, before
+            )
+            self.asking = self._start(self.names.run)
+
+    def reload(self, tries: int = RELOADS) -> None:
         """SIGHUP: read the configuration again, whole, before anything of it is taken."""
         restarts, taken, fault = list[str](), list[str](), ""
         try:
             new = self.configure()
+            # Half of it would be a mixture of two configurations, perhaps of two customers.
+            if restarts := self.config.restarts(new):
+                raise ConfigError(f"only a restart takes {', '.join(restarts)}")
         except (ConfigError, OSError) as cause:
+            if isinstance(cause, OSError) and cause.errno in reads.NO_DESCRIPTOR and tries > 1:
+                self._starved()
+                asyncio.get_running_loop().call_later(DRAIN_LOOK_S, self.reload, tries - 1)
+                return
             self.counters["reloads.failed"] += 1
             fault = f"{type(cause).__name__}: {cause}"
             log.error("%s cannot reload; the old configuration stays: %s", self.name, fault)
         else:
             self.counters["reloads.taken"] += 1
-            restarts = self.config.restarts(new)
             taken = self._take(new)
-            told = ", ".join(taken) or "nothing", ", ".join(restarts) or "nothing"
-            log.info("%s reloaded; taken: %s; only a restart takes: %s", self.name, *told)
+            log.info("%s reloaded; taken: %s", self.name, ", ".join(taken) or "nothing")
         told_json = {"ok": not fault, "fault": fault, "taken": taken, "restart": restarts}
         print(json.dumps({"reload": told_json}), file=sys.stderr, flush=True)
 
     def _take(self, new: Config) -> list[str]:
-        """Swap what can change live; the rest of the old configuration stays in force."""
+        """Swap what can change live, which is all that differs."""
         taken, old = list[str](), self.config
         self.config = replace(old, dns=new.dns)
         if new.dns != old.dns:
@@ -203,7 +225,7 @@
             self._ask_names()
         # The serials go on: a file older than what the name server has told brings back no dead worker.
         # Where no name server is asked, the file is all that tells of the workers.
-        newer = new.fleet.version > self.fleet.version
+        newer = new.fleet.version != self.fleet.version and not self.fleet.behind(new.fleet.version)
         if newer or (new.dns is None and new.fleet.entries != self.fleet.entries):
             self.fleet.replace(new.fleet)
             self._changed()
@@ -231,7 +253,7 @@
     async def _listen(self) -> list[Listener]:
         fronts = list[Listener]()
         if self.config.listen is not None:
-            self.platform = Platform(self.core, self.limits, self.counters, self._received, self._ready)
+            self.platform = Platform(self.core, self.limits, self.counters, self._came, self._ready)
             # Also where the folder is of no use: two processes that cannot hand over may still serve in turn.
             shared = self.config.operation is not None and self.config.operator is None
             fronts.append(await self.platform.start(*self.config.listen, shared))
@@ -294,10 +316,11 @@
                 return
             await asyncio.sleep(DRAIN_LOOK_S)
 
-    async def _follow(self, handover: Handover) -> None:
+    async def _follow(self) -> None:
         """Look now and then at what the other process of an upgrade does and was told."""
+        assert self.handover is not None
         while True:
-            self._look(handover)
+            self._look(self.handover)
             await asyncio.sleep(self.limits.folder_look_us / 1e6)
 
     def _look(self, handover: Handover) -> None:
@@ -317,12 +340,19 @@
             log.info("%s: budgets for %d processes side by side", self.name, self.live)
             self._limit()
 
+    def _came(self) -> int:
+        """For bytes that are being read from their socket."""
+        return self.selector.since_us
+
     def _received(self) -> int:
+        """For bytes that a stream hands on, one turn after they were read."""
         return self.selector.read_us
 
-    def _task_ended(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            log.error("a part has failed", exc_info=task.exception())
+    def _starved(self) -> None:
+        """No descriptor is left for what the router itself needs: an idle client goes."""
+        self.counters["descriptors.none_left"] += 1
+        if self.platform is not None:
+            self.platform.make_room()
 
     async def _sweep(self) -> None:
         while True:
@@ -333,19 +363,24 @@
     async def _drain(self, fronts: list[Listener]) -> None:
         """Go on serving what comes; clients hear of the end late. Leave when nothing is owed."""
         log.info("%s was asked to stop; %d requests open", self.name, len(self.core.open))
-        told_us = clock()
-        until = told_us + self.limits.drain_least_us
+        told_us, limits = clock(), self.limits
+        until = told_us + limits.drain_least_us
+        longest_us = max(kind.deadline_us for kind in self.core.settings.classes)
+        end_us = told_us + limits.kill_after_us(longest_us) - limits.handover_spare_us
+        if self.platform is not None:
+            self.core.leave(end_us)  # what is owed then would never be answered
         if self.peers is not None:  # the others hear of the leave, and suspect nobody
             self.peers.leave()
         if self.invoke is not None:
             self.invoke[0].leaving = True
         if self.handover is not None:
             self.handover.leaving()
-        while clock() < until or self._owes():
+        while clock() < until or (self._owes() and (self.platform is None or clock() < end_us)):
             if self.handover is not None:
                 self._look(self.handover)
                 if self._handing_over() and self.platform is not None:
-                    await self._hand_over(self.platform, fronts, told_us)
+                    log.info("%s hands over; %d connections stand", self.name, len(self.platform.clients))
+                    await self._part(self.platform, fronts, end_us, clock() + limits.handover_choosy_us)
                     break
             await asyncio.sleep(DRAIN_LOOK_S)
         else:
@@ -353,23 +388,24 @@
             if self.invoke is not None:
                 http, listener = self.invoke
                 await http.end(listener)
-        log.info("%s stops; nothing is owed", self.name)
+            if self.platform is not None:
+                await self._part(self.platform, fronts, end_us, clock())
+        owed = len(self.core.open)
+        log.info("%s stops; %s is owed", self.name, f"an answer to {owed} requests" if owed else "nothing")
 
     def _owes(self) -> bool:
         return bool(self.core.open) or self.platform is not None and self.platform.owes()
 
-    async def _hand_over(self, platform: Platform, fronts: list[Listener], told_us: int) -> None:
-        """Another process takes the new connections; those that stand here end one by one, once quiet."""
-        log.info("%s hands over; %d connections stand", self.name, len(platform.clients))
-        limits, began = self.limits, clock()
-        longest_us = max(kind.deadline_us for kind in self.core.settings.classes)
-        self.core.leave_us = told_us + limits.kill_after_us(longest_us) - limits.handover_spare_us
+    async def _part(self, platform: Platform, fronts: list[Listener], end_us: int, choosy_us: int) -> None:
+        """Nobody is accepted any more, or by another process; the connections that stand end one by one, once
+        quiet, and from `choosy_us` on also in a moment's rest. Guards what comes just before the exit: read
+        by a process that ends without looking back, it would never be answered."""
+        limits = self.limits
         for front in fronts:
             await front.finish()
-        while self._owes() or platform.stand():
+        while (self._owes() or platform.stand()) and clock() < end_us:
             await asyncio.sleep(DRAIN_LOOK_S)
-            since_us = clock() - began
-            platform.part(limits.handover_quiet_us if since_us < limits.handover_choosy_us else 0)
+            platform.part(limits.handover_quiet_us if clock() < choosy_us else 0)
         until = clock() + limits.handover_linger_us
         while platform.clients and clock() < until:  # what crossed the end is read away
             await asyncio.sleep(DRAIN_LOOK_S)
@@ -441,7 +477,7 @@
         raise ConfigError("NODE_CONFIG is not set")
     try:
         told = json.loads(Path(file).read_bytes())
-    except ValueError as fault:
+    except (ValueError, RecursionError) as fault:  # deep nesting must not end the program
         raise ConfigError(f"no JSON: {fault}") from None
     if not isinstance(told, dict):
         raise ConfigError("no JSON object")
--- a/maplestile/pool.py
+++ b/maplestile/pool.py
@@ -160,6 +160,18 @@
             self.move(connection, Link.DOUBTFUL)
         self._write(connection, Message(wire.cancel(message.tag), False))
 
+    def withhold(self, attempt: AttemptId) -> bool:
+        connection, message = self.where.get(attempt, (None, None))
+        if connection is None or message is None:
+            return False
+        message.until_us = self.clock()  # should its connection break before all of it is out
+        if message.state is not Attempt.QUEUED:
+            return False
+        del self.where[attempt]
+        self.move(message, Attempt.UNSENT)
+        connection.queue.remove(message)
+        return True
+
     def order(self, tag: int, worker: str, function: str, copies: int) -> None:
         name = f"load-{tag}"
         message = Message(wire.load(name, function, copies), True, None, name, tag)
@@ -368,7 +380,7 @@
                 self.move(message, Attempt.QUEUED)
             # A connection that came up and broke says nothing of the runner: the rest goes by another.
             if connection.socket is None or not self._again(connection.runner, message):
-                self._unsent(message, Result.CONNECT_FAILED)
+                self._unsent(message, Result.MOOT if result is Result.MOOT else Result.CONNECT_FAILED)
 
     def _rested_too_long(self, connection: Connection) -> None:
         """It broke at the first request after a rest, before it was heard, and where that came at once the
--- a/maplestile/state.py
+++ b/maplestile/state.py
@@ -130,6 +130,11 @@
     attempts: list[Attempt] = field(default_factory=list)
     open: bool = True
     streaming: bool = False
+    abandoned: bool = False  # its client has gone
+
+    def over(self, now_us: int) -> bool:
+        """No attempt may begin any more."""
+        return self.streaming or self.abandoned or now_us >= self.due_us
 
     def ran(self) -> list[Attempt]:
         """Those that may have run."""
--- a/maplestile/wire/dns.py
+++ b/maplestile/wire/dns.py
@@ -39,6 +39,7 @@
 @dataclass(slots=True)
 class Reply:
     id: int
+    question: tuple[str, int] | None = None  # the name, in small letters, and the kind that it answers
     serial: int | None = None
     targets: list[Target] = field(default_factory=list)
     hosts: dict[str, Host] = field(default_factory=dict)
@@ -74,9 +75,11 @@
     if flags & RCODE:
         raise DnsError(f"error code {flags & RCODE}")
     at = HEAD.size
-    for _ in range(questions):
-        at = _name(data, at)[1] + 4
     reply = Reply(id_)
+    for _ in range(questions):
+        name, at = _name(data, at)
+        reply.question = name.lower(), struct.unpack_from("!H", data, at)[0]
+        at += 4
     for _ in range(answers + authority + additional):
         name, at = _name(data, at)
         kind, _, _, size = FIXED.unpack_from(data, at)
@@ -89,7 +92,7 @@
 
 
 def _record(reply: Reply, data: bytes, name: str, kind: int, at: int, size: int) -> None:
-    if kind == SRV:
+    if kind == SRV and (reply.question is None or name.lower() == reply.question[0]):
         priority, weight, port = struct.unpack_from("!3H", data, at)
         reply.targets.append(Target(_name(data, at + 6)[0], port, priority, weight))
     elif kind == A and size == 4:
@@ -125,18 +128,17 @@
     return ".".join(labels), after or at + 1
 
 
-def entries(reply: Reply) -> Iterator[tuple[WorkerEntry, tuple[str, int]]]:
-    """Each worker of a whole list, and its address."""
-    for target in reply.targets:
-        host = reply.hosts.get(target.name.lower())
-        labels = target.name.split(".")
-        if host is None or not host.address or len(labels) < 2:
-            raise DnsError(f"no address for {target.name}")
-        try:
-            cell, started = int(host.texts.get("cell", 0)), int(host.texts.get("started", 0))
-        except ValueError:
-            raise DnsError(f"an odd text for {target.name}") from None
-        state = WorkerState.DRAINING if target.priority else WorkerState.RUNNING
-        kind, weight = host.texts.get("kind", ""), target.weight / WEIGHT_UNIT
-        entry = WorkerEntry(labels[0], labels[1], kind, cell, state, weight, started * 1000)
-        yield entry, (host.address, target.port)
+def entry(reply: Reply, target: Target) -> tuple[WorkerEntry, tuple[str, int]]:
+    """One worker of a whole list, and its address."""
+    host = reply.hosts.get(target.name.lower())
+    labels = target.name.split(".")
+    if host is None or not host.address or len(labels) < 2:
+        raise DnsError(f"no address for {target.name}")
+    try:
+        cell, started = int(host.texts.get("cell", 0)), int(host.texts.get("started", 0))
+    except ValueError:
+        raise DnsError(f"an odd text for {target.name}") from None
+    state = WorkerState.DRAINING if target.priority else WorkerState.RUNNING
+    kind, weight = host.texts.get("kind", ""), target.weight / WEIGHT_UNIT
+    told = WorkerEntry(labels[0], labels[1], kind, cell, state, weight, started * 1000)
+    return told, (host.address, target.port)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -120,6 +120,7 @@
         self.socket.bind(("127.0.0.1", 0))
         self.port: int = self.socket.getsockname()[1]
         self.serial, self.workers = 1, list[tuple[str, int, int]]()  # uid, port, priority
+        self.started: dict[str, int] = {}  # Unix milliseconds of a late start, by uid
         self.faults: list[str] = []
         self.queries = 0
         threading.Thread(target=self._run, daemon=True).start()
@@ -137,7 +138,8 @@
                 host = name_bytes(f"{uid}.east.hosts")
                 answer += record(b"\xc0\x0c", 33, struct.pack("!3H", priority, 40, port) + host)
                 extra += record(host, 1, bytes([127, 0, 0, 1]))
-                extra += record(host, 16, b"".join(bytes([len(t)]) + t for t in (b"kind=std", b"cell=2")))
+                texts = b"kind=std", b"cell=2", b"started=%d" % self.started.get(uid, 0)
+                extra += record(host, 16, b"".join(bytes([len(t)]) + t for t in texts))
             soa = record(b"\xc0\x0c", 6, b"\0\0" + struct.pack("!5I", self.serial, 0, 0, 0, 0))
             count = len(self.workers)
             head = struct.pack("!6H", int.from_bytes(query[:2]), flags, 1, count, 1, 2 * count)
@@ -283,12 +285,15 @@
             "state": state, "capacity_hint": 4, "boot_ms": 0}  # fmt: skip
 
 
-def node(workers: list[Worker], names: NameServer, folder: str = "", port: int = 0) -> Program:
+def node(
+    workers: list[Worker], names: NameServer, folder: str = "", port: int = 0, **changes: Any
+) -> Program:
     """The program as the platform starts it; with a folder of its own also an address for operators."""
     targets = [target(f"s-{n}", worker.port) for n, worker in enumerate(workers)]
     known = {"index": 1, "updates": [{"index": 1, "endpoints": {"all": True, "targets": targets}}]}
-    config = {"name": "n0", "listen": f"127.0.0.1:{port}", "seed": "8c1f30d27a5be964", "known": known,
-              "limits": {"sockets": 256}, "dns": f"127.0.0.1:{names.port}", "settings": params()}  # fmt: skip
+    config = {"name": "n0", "listen": f"127.0.0.1:{port}", "seed": os.urandom(8).hex(), "known": known,
+              "limits": {"sockets": 256}, "dns": f"127.0.0.1:{names.port}",
+              "settings": params(**changes)}  # fmt: skip
     file = Path(tempfile.mkdtemp()) / "config.json"
     file.write_text(json.dumps(config))
     told = {"TMPDIR": folder, "NODE_OPERATOR": "127.0.0.1:0"} if folder else {}
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -19,6 +19,7 @@
         self.now, self.due = START, 0
         self.sent: list[AttemptId] = []
         self.cancelled: list[AttemptId] = []
+        self.unwritten = set[AttemptId]()  # those that wait for their connection
         self.core = Core(
             settings_from(params()), Limits(**limits), 7, self, lambda: self.now, self._alarm
         )
@@ -39,6 +40,9 @@
     def cancel(self, attempt: AttemptId) -> None:
         self.cancelled.append(attempt)
 
+    def withhold(self, attempt: AttemptId) -> bool:
+        return attempt in self.unwritten
+
     def order(self, tag: int, worker: str, function: str, copies: int) -> None: ...
     def unload(self, worker: str, function: str) -> None: ...
     def probe(self, tag: int, worker: str) -> None: ...
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,289 @@
+"""Whoever ends something just then: the real program, and stand-ins that hold, cut or close on cue.
+
+`docs/endings.md` lists the moments."""
+
+import contextlib
+import json
+import resource
+import signal
+import socket
+import threading
+import time
+import unittest
+from pathlib import Path
+from typing import Any
+
+from tests.standins import PATIENCE_S, Client, NameServer, Worker, eventually, node, params
+
+GONE_S = 0.3  # from then on nothing may begin for a client that has closed
+
+
+class Holding(Worker):
+    """Holds each connection before its handshake, until it is told to let them up."""
+
+    def __init__(self) -> None:
+        self.hold = threading.Event()
+        super().__init__()
+
+    def _accept(self) -> None:
+        self.listener.listen(0)
+        self.fill = socket.create_connection(("127.0.0.1", self.port))  # the queue is full with this one
+        self.hold.wait()
+        super()._accept()
+
+
+def calls(*workers: Worker) -> list[dict[str, Any]]:
+    return [line for worker in workers for line in list(worker.lines) if line["kind"] == "CALL"]
+
+
+class ClientGoneTest(unittest.TestCase):
+    """Nothing begins for a client that has closed its connection, whatever its call waits for."""
+
+    def start(self, *workers: Worker, **changes: Any) -> None:
+        self.names = NameServer()
+        self.names.workers = [(f"s-{n}", worker.port, 0) for n, worker in enumerate(workers)]
+        self.program = node(list(workers), self.names, **changes)
+        self.addCleanup(self.program.kill)
+        self.client = Client(self.program.port("platform"))
+
+    def test_call_that_waits_for_its_connection_is_not_sent_once_that_comes_up(self) -> None:
+        limits = params()["limits"] | {"cancelling": False}
+        for ending, changes in (("close", {}), ("interrupt", {}), ("interrupt", {"limits": limits})):
+            with self.subTest(ending, changes=changes):
+                worker = Holding()
+                self.start(worker, **changes)
+                id_ = self.client.call("review", b"abc")
+                eventually(lambda: self.program.counters().get("attempts.sent"), "the decision")
+                if ending == "close":
+                    self.client.close()
+                else:
+                    self.client.send("interrupt", {"id": id_}, id_=id_)
+                time.sleep(GONE_S)
+                worker.hold.set()
+                worker.fill.close()
+                # What comes after it by the same connection shows that it came up, and that it was dropped.
+                other = Client(self.program.port("platform"))
+                other.served("review", b"later")
+                self.assertEqual([line["bytes"] for line in calls(worker)], ["bGF0ZXI="])
+                counters = self.program.counters()
+                self.assertEqual(counters["attempts.moot"], 1)
+                self.assertNotIn("states.forbidden", counters)
+                other.close()
+                self.program.kill()
+
+    def test_call_is_not_tried_again_once_its_client_has_closed(self) -> None:
+        first, second = Worker(), Worker()
+        self.start(first, second)
+        for worker in (first, second):
+            worker.pause.clear()  # the attempt is out, and not answered
+        self.client.call("review", b"full:")
+        eventually(lambda: self.program.counters().get("attempts.sent"), "the attempt")
+        self.client.close()
+        time.sleep(GONE_S)
+        for worker in (first, second):
+            worker.pause.set()
+        eventually(lambda: self.program.counters().get("attempts.full"), "the answer")
+        time.sleep(GONE_S)
+        self.assertEqual(len(calls(first, second)), 1)
+        self.assertEqual(self.program.counters()["attempts.sent"], 1)
+
+    def test_call_that_is_held_between_tries_is_dropped_with_its_client(self) -> None:
+        worker = Worker()
+        self.start(worker)
+        self.client.call("review", b"full:")
+        eventually(lambda: self.program.counters().get("attempts.full"), "the first try")
+        self.client.close()
+        time.sleep(GONE_S)
+        before = len(calls(worker))
+        time.sleep(3.0)  # the pause after a full answer is over by then
+        self.assertEqual(len(calls(worker)), before)
+
+    def test_client_that_ended_its_side_alone_gets_the_answer_of_what_is_out(self) -> None:
+        worker = Worker()
+        self.start(worker)
+        worker.pause.clear()
+        id_ = self.client.call("review", b"abc")
+        eventually(lambda: self.program.counters().get("attempts.sent"), "the attempt")
+        self.client.socket.shutdown(socket.SHUT_WR)
+        time.sleep(GONE_S)
+        worker.pause.set()
+        self.assertEqual(self.client.read(), {"jsonrpc": "2.0", "id": id_, "result": {"blob": "Y2Jh"}})
+        self.assertIsNone(self.client.read())
+        self.client.close()
+
+
+class DrainTest(unittest.TestCase):
+    """The process ends, and each request that it took has its one answer."""
+
+    def setUp(self) -> None:
+        self.worker, self.names = Worker(), NameServer()
+        self.program = node([self.worker], self.names)
+        self.addCleanup(self.program.kill)
+        self.port = self.program.port("platform")
+
+    def test_request_that_comes_when_nothing_is_owed_is_answered_or_finds_a_clean_close(self) -> None:
+        """Callers that ask again the moment they have their answer, up to the very end of the process."""
+        faults, asked = list[str](), [0]
+
+        def ask() -> None:
+            client = Client(self.port)
+            while True:
+                try:
+                    id_ = client.call("test-submit", b"abc")
+                    asked[0] += 1
+                    answer = client.read()
+                except (ConnectionError, OSError) as fault:
+                    faults.append(repr(fault))
+                    return
+                if answer is None:  # a clean end, which the request has crossed
+                    return
+                if answer.get("id") != id_:
+                    faults.append(repr(answer))
+
+        callers = [threading.Thread(target=ask, daemon=True) for _ in range(8)]
+        for caller in callers:
+            caller.start()
+        eventually(lambda: asked[0] > 100, "calls")
+        self.program.process.send_signal(signal.SIGTERM)
+        for caller in callers:
+            caller.join(PATIENCE_S)
+        self.assertEqual(self.program.process.wait(PATIENCE_S), 0)
+        self.assertEqual(faults, [])
+        told = json.loads(self.program.find(r'^(\{"counters".*)'))["counters"]
+        answered = sum(count for name, count in told.items() if name.startswith("answers."))
+        self.assertEqual((told["requests.taken"], told.get("requests.withdrawn", 0)), (answered, 0))
+
+    def test_call_that_outlasts_the_process_is_answered_before_it_is_killed(self) -> None:
+        client = Client(self.port)
+        id_ = client.call("test-submit", b"hang:", limit_ms=15_000)
+        eventually(lambda: self.worker.ran, "the call")
+        began = time.monotonic()
+        self.program.process.send_signal(signal.SIGTERM)
+        answer = client.read() or {}
+        self.assertEqual((answer.get("id"), "error" in answer), (id_, True))
+        self.assertEqual(self.program.process.wait(PATIENCE_S), 0)
+        self.assertLess(time.monotonic() - began, 3.7)  # SIGKILL: 0.7 s after 3 s, or the longest deadline
+        client.close()
+
+    def test_client_that_never_reads_its_answers_does_not_keep_the_process(self) -> None:
+        deaf = socket.socket()
+        deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        deaf.connect(("127.0.0.1", self.port))
+        client = Client.__new__(Client)
+        client.socket, client.id, client.held, client.holding = deaf, 0, b"", False
+        for _ in range(14):
+            client.call("review", b"long:")
+        eventually(lambda: self.program.counters().get("answers.served", 0) >= 14, "the answers")
+        began = time.monotonic()
+        self.program.process.send_signal(signal.SIGTERM)
+        self.assertEqual(self.program.process.wait(PATIENCE_S), 0)
+        self.assertLess(time.monotonic() - began, 4.5)
+        deaf.close()
+
+    def test_sigterm_at_any_moment_of_the_start_ends_the_process_soon(self) -> None:
+        for delay_s in (0.0, 0.1, 0.2, 0.3, 0.4, 0.6):
+            program = node([self.worker], NameServer())
+            time.sleep(delay_s)
+            program.process.send_signal(signal.SIGTERM)
+            try:
+                self.assertIn(program.process.wait(PATIENCE_S), (0, -signal.SIGTERM))
+                self.assertFalse([line for line in program.log if "Traceback" in line])
+            finally:
+                program.kill()
+
+
+class DescriptorsTest(unittest.TestCase):
+    def test_new_name_server_is_heard_though_idle_clients_hold_every_descriptor(self) -> None:
+        worker, names, other = Worker(), NameServer(), NameServer()
+        names.workers = other.workers = [("s-0", worker.port, 0)]
+        names.serial, other.serial = 2, 3
+        program = node([worker], names)
+        self.addCleanup(program.kill)
+        idle = [Client(program.port("platform")) for _ in range(40)]
+        for client in idle:
+            client.send("check")
+            client.read()
+        eventually(lambda: program.counters().get("names.lists"), "the list")
+        open_now = len(list(Path(f"/proc/{program.process.pid}/fd").iterdir()))
+        resource.prlimit(program.process.pid, resource.RLIMIT_NOFILE, (open_now, 256))
+        told = program.reload(lambda text: text.replace(str(names.port), str(other.port)))
+        self.assertEqual(told["taken"], ["dns"])
+        eventually(lambda: other.queries, "a query to the new name server")
+        eventually(lambda: program.counters().get("names.lists", 0) > 1 or other.queries > 3, "its list")
+        self.assertGreater(program.counters()["descriptors.none_left"], 0)
+        for client in idle:
+            client.close()
+
+
+class ReloadTest(unittest.TestCase):
+    def test_new_name_server_that_says_nothing_leaves_no_drain_untold(self) -> None:
+        workers, names = [Worker(), Worker()], NameServer()
+        names.workers = [(f"s-{n}", worker.port, 0) for n, worker in enumerate(workers)]
+        program = node(workers, names)
+        self.addCleanup(program.kill)
+        port = program.port("platform")
+        eventually(lambda: names.queries, "a query")
+        silent = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        silent.bind(("127.0.0.1", 0))
+        told = program.reload(lambda text: text.replace(str(names.port), str(silent.getsockname()[1])))
+        self.assertEqual(told["taken"], ["dns"])
+        names.workers, names.serial = [("s-0", workers[0].port, 1), ("s-1", workers[1].port, 0)], 2
+        eventually(lambda: program.counters().get("names.lists"), "the list of the one before")
+        client = Client(port)
+        for n in range(12):
+            client.served("review", b"x", item=f"f{n}")
+        self.assertEqual((len(workers[0].ran), len(workers[1].ran)), (0, 12))
+        client.close()
+        silent.close()
+
+
+class FleetRampTest(unittest.TestCase):
+    def test_cold_worker_gets_no_more_than_its_budget_from_twenty_routers_together(self) -> None:
+        """A warm worker drains just as a cold one comes: every router has homes to move, and thin traffic."""
+        routers, functions, rate = 20, 40, 24.0
+        workers, names = [Worker(), Worker(), Worker()], NameServer()
+        names.workers = [(f"s-{n}", worker.port, 0) for n, worker in enumerate(workers)]
+        programs = [node(workers, names, instances=routers) for _ in range(routers)]
+        for program in programs:
+            self.addCleanup(program.kill)
+        clients = [Client(program.port("platform")) for program in programs]
+        for client in clients:
+            self.addCleanup(client.close)
+        cold, began = Worker(), time.time()
+        arrived = list[float]()
+        noted = cold._answer
+
+        def note(told: dict[str, Any]) -> dict[str, Any] | bytes | None:
+            if told["kind"] in ("CALL", "LOAD"):
+                arrived.append(time.time())
+            return noted(told)
+
+        cold._answer = note  # type: ignore[method-assign]
+        turn, joined = 0, 0.0
+        while (now := time.time()) < began + 9.0:
+            if not joined and now > began + 4.0:
+                joined = now
+                names.workers = [
+                    ("s-0", workers[0].port, 0), ("s-1", workers[1].port, 0), ("s-2", workers[2].port, 1),
+                    ("cold", cold.port, 0),
+                ]  # fmt: skip
+                names.started = {"cold": int(joined * 1000)}
+                names.serial = 2
+            # Uneven: a third of the routers get most of the calls.
+            client = clients[turn * turn % routers]
+            item = f"{turn * 7 % functions:016x}"
+            client.call("review", b"abc", item=item)
+            with contextlib.suppress(OSError):
+                client.read()
+            turn += 1
+            time.sleep(max(0.0, began + turn / rate - time.time()))
+        # What a worker of this fleet carries: the traffic is 0.6 of what three of them do.
+        capacity = rate / 0.6 / 3
+        told = params()["guarantees"]
+        span_s = told["overloadForUs"] / 1e6
+        for at in arrived:
+            age_s = max(0.0, at - span_s - joined)
+            share = told["startCapacity"] + (1 - told["startCapacity"]) * age_s / (told["coldUs"] / 1e6)
+            budget = told["fallMultiple"] * share * capacity * span_s
+            count = sum(at - span_s < other <= at for other in arrived)
+            self.assertLessEqual(count, budget + 2 * budget**0.5 + 2)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -9,6 +9,7 @@
 
 from maplestile.limits import Limits
 from maplestile.net.platform import Platform
+from maplestile.net.reads import Inbox
 from tests.test_core import Rig
 from tests.test_machines import framed, message
 
@@ -139,10 +140,11 @@
         async with asyncio.timeout(20):
             while not self.front.clients:
                 await asyncio.sleep(0.005)
-        client, reader = next(iter(self.front.clients)), asyncio.StreamReader()
-        self.assertTrue(self.front._make_room())
-        reader.feed_data(framed(message(limit=9_000)))  # was read before the close, and is handled after it
-        await self.front._read_all(client, reader)
+        client = next(iter(self.front.clients))
+        self.assertTrue(self.front.make_room())
+        client.reader = Inbox(1 << 16, lambda: 0)
+        client.reader.feed_data(framed(message(limit=9_000)))  # read before the close, handled after it
+        await self.front._read_all(client)
         self.assertEqual(self.rig.core.counters["requests.taken"], 0)
 
     async def test_connection_without_a_whole_message_in_time_is_closed_and_a_quiet_one_is_not(self) -> None:
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -110,7 +110,7 @@
 def test_list_is_read_with_compressed_names() -> None:
     found = dns.parse(reply())
     entry = api.WorkerEntry("s-1", "east", "std", 2, api.WorkerState.DRAINING, 2.5, 5000)
-    assert list(dns.entries(found)) == [(entry, ("10.1.0.9", 99))]
+    assert [dns.entry(found, target) for target in found.targets] == [(entry, ("10.1.0.9", 99))]
     assert found.serial == 41 and not list(found.lacking())
 
 
@@ -132,7 +132,9 @@
     ]})  # fmt: skip
     assert list(fleet.entries) == ["b"] and fleet.version == 3
     assert not fleet.apply_whole(3, []) and fleet.entries
-    assert fleet.apply_whole(4, list(dns.entries(dns.parse(reply())))) and list(fleet.entries) == ["s-1"]
+    found = dns.parse(reply())
+    assert fleet.apply_whole(4, [dns.entry(found, target) for target in found.targets])
+    assert list(fleet.entries) == ["s-1"]
     with pytest.raises(FleetError):
         odd = {"targets": [target("x", 1, "Odd")]}
         fleet.apply_known({"updates": [{"index": 5, "endpoints": odd}]})
--- a/tests/test_process_invoke.py
+++ b/tests/test_process_invoke.py
@@ -185,8 +185,11 @@
         worker = f'[[worker]]\nid = "w3"\naddress = "127.0.0.1:{self.workers[0].port}"\nkind = "quad-std"\n'
         added = f"{function}{worker}[[kind]]"
         told = self.program.reload(lambda text: text.replace("[[kind]]", added).replace("9.7", "9.6"))
-        self.assertEqual(told["taken"], ["known", "invoke"])
+        self.assertEqual((told["ok"], told["taken"]), (False, []))  # half a file would be a mixture of two
         self.assertEqual(told["restart"], ["settings.keep_us"])
+        self.assertEqual(self.post("new-cards", b"abc")[0], 404)
+        told = self.program.reload(lambda text: text.replace("9.6", "9.7"))
+        self.assertEqual((told["taken"], told["restart"]), (["known", "invoke"], []))
         self.assertEqual(self.post("new-cards", b"abc")[:2], (200, b"cba"))
         told = self.program.reload(lambda text: text.replace('"new-cards"', "5"))
         self.assertIn("function[3].name", told["fault"])
--- a/tests/test_process_platform.py
+++ b/tests/test_process_platform.py
@@ -114,8 +114,16 @@
             told = self.program.reload(lambda _, bad=bad: bad)  # type: ignore[misc]
             self.assertEqual((told["ok"], told["taken"]), (False, []))
         self.assertFalse(other.queries)
-        told = self.program.reload(lambda _: moved.replace('"attemptsCap": 5', '"attemptsCap": 4'))
-        self.assertEqual((told["taken"], told["restart"]), (["dns"], ["settings.max_attempts"]))
+        # Another customer's file, or one of settings that only a restart takes: nothing of it is taken.
+        others = moved.replace('"attemptsCap": 5', '"attemptsCap": 4'), moved.replace('"review"', '"exam"')
+        for place, changed in zip(("max_attempts", "classes"), others, strict=True):
+            told = self.program.reload(lambda _, new=changed: new)  # type: ignore[misc]
+            self.assertEqual((told["ok"], told["taken"]), (False, []))
+            self.assertEqual(told["restart"], [f"settings.{place}"])
+            self.assertIn(f"settings.{place}", told["fault"])
+        self.assertFalse(other.queries)
+        told = self.program.reload(lambda _: moved)
+        self.assertEqual((told["ok"], told["taken"], told["restart"]), (True, ["dns"], []))
         eventually(lambda: self.program.counters().get("names.lists"), "the list of the new name server")
         before = self.names.queries
         eventually(lambda: other.queries > 8, "two seconds of queries")
