--- a/maplestile/core.py
+++ b/maplestile/core.py
@@ -290,11 +290,13 @@
     def tick(self) -> None:
         """Run what is due; the driver calls this when the alarm goes off."""
         now = self.clock() // self.settings.tick_us
+        due = list[Callable[[], object]]()
         while self.ticks and self.ticks[0] <= now:
-            for then in self.timers.pop(heapq.heappop(self.ticks)):
-                then()
+            due += self.timers.pop(heapq.heappop(self.ticks))
         self.armed = 0
-        self._arm()
+        self._arm()  # first, since what is due may fail, and then no timer would ever come again
+        for then in due:
+            then()
 
     def catch_up(self) -> None:
         """For drivers in the midst of much input: a deadline must not wait until all of it is handled."""
--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -299,7 +299,7 @@
         if self.now < paused_us or not room: return False
         twice = call.outstanding() and not call.rules.may_duplicate
         if call.attempts and (twice or not self.repeatable(call, worker)): return False
-        return self.ramp_allows(worker, call.rules, row.service_us, bool(call.attempts))
+        return self.ramp_allows(worker, call.rules, math.inf if call.attempts else row.service_us, 1)
 
     def repeatable(self, call: Call, worker: Worker) -> bool:
         """Rule 1: where a call that went out before may ever go again."""
@@ -315,21 +315,21 @@
         same = first.zone == entry.zone if kind.scope is Scope.ZONE else first.cell == entry.cell
         return self.now + call.rules.tick_us < call.kept_us() and (same or kind.scope is Scope.ALL)
 
-    def ramp_allows(self, worker: Worker, rules: api.Settings, work_us: float, further: bool = False) -> bool:
-        """Rule 4 for the fleet: each dispatcher sends a part of its calls, rounded by a draw of its own for
-        each span, and no call more. One turned away elsewhere stays with the warm, against storms."""
+    def ramp_allows(self, worker: Worker, rules: api.Settings, work_us: float, least: int) -> bool:
+        """Rule 4 for the fleet: each sends a part of its usual calls, or of `least`, rounded by a draw of its
+        own for each span. Loads have no least: they ask till they may. Storms tell endless work."""
         risen = max(0, self.now - worker.entry.started_us) / rules.cold_us  # evenly, at the slowest
         if not worker.entry.started_us or risen >= 1: return True
         part = RAMP_SAFETY * rules.fall_multiple * (rules.cold_share + (1 - rules.cold_share) * risen)
         usual_us = self.rate() * rules.fall_us * worker.entry.weight / self.weights
         drawn = mixed(self.salt ^ worker.salt, digest(str((self.now + self.salt) // rules.fall_us)))
-        return not further and worker.sends.total(self.now) + drawn * work_us < part * max(work_us, usual_us)
+        return worker.sends.total(self.now) + drawn * work_us < part * max(least * work_us, usual_us)
 
     def order(self, row: Row, worker: Worker, renew: bool = False) -> bool:
         """The one gate of every order to load: rules 3 and 5."""
         ration = self.set.orders_free + self.set.orders_per_call * self.arrivals.total(self.now)
         rationed = self.set.order_window_us > 0 and self.orders.total(self.now) + 1 > ration
-        ramped = self.running(worker) and self.ramp_allows(worker, self.set, row.service_us)
+        ramped = self.running(worker) and self.ramp_allows(worker, self.set, row.service_us, 0)
         if not self.set.may_order or rationed or not ramped: return False
         if renew: row.copy(worker).used_us = self.now
         else: self.load_begins(row, worker, ordered=True)
--- a/maplestile/invoke/api.py
+++ b/maplestile/invoke/api.py
@@ -109,14 +109,22 @@
             return self._plain(call, request.received_us, respond)
         record = known or self._start(call, scope, asked, request.received_us)
         if deferred:
+            record.deferred = True
             respond(self._accepted(record))
             return nothing
         if record.answer is not None:
             respond(self.store.tell(record))
             return nothing
         record.waiting.append(respond)
-        # Under a key another try may come for the answer, so the call goes on without this client.
-        return lambda: record.waiting.remove(respond) if respond in record.waiting else None
+        return lambda: self._left(record, respond)
+
+    def _left(self, record: Record, respond: Callable[[Response], None]) -> None:
+        """Under a key another try may come for the answer of what is out, so that goes on; nothing begins."""
+        if respond in record.waiting:
+            record.waiting.remove(respond)
+        if not record.waiting and not record.deferred and record.answer is None:
+            record.abandoned = True
+            self.core.client_gone(record.call)
 
     def _call(
         self, function: Function, class_name: str, tenant: str, key: str, budget_us: int, body: bytes
@@ -157,7 +165,10 @@
 
         def answer(outcome: Outcome) -> None:
             self.in_hand[call.tenant] -= 1
-            self.store.finish(record, problems.of(outcome))
+            if record.abandoned and not record.waiting and not outcome.ran:
+                self.store.drop(record)  # nothing ran, and nobody was told: the key is free for another try
+            else:
+                self.store.finish(record, problems.of(outcome))
 
         record.call = self.core.submit(call, received_us, answer)
         return record
--- a/maplestile/invoke/store.py
+++ b/maplestile/invoke/store.py
@@ -22,6 +22,8 @@
     call: int = 0
     answer: Response | None = None
     told: bool = False
+    deferred: bool = False  # its answer is collected later, by whoever knows the id
+    abandoned: bool = False  # all that waited for it have gone
     waiting: list[Callable[[Response], None]] = field(default_factory=list)
 
 
@@ -58,6 +60,8 @@
 
     def _lapse(self, record: Record) -> None:
         """Guards against a result that is silently kept, and against one that changes once told."""
+        if record.id not in self.records:
+            return  # dropped
         if not record.told:
             self.counters["invoke.lapsed"] += 1
             late = record.answer or problem(504, "the deadline lapsed")
@@ -67,9 +71,9 @@
             record.answer = late
             for tell in waiting:
                 tell(self.tell(record))
-        self.at(record.deadline_us + self.keep_us, lambda: self._forget(record))
+        self.at(record.deadline_us + self.keep_us, lambda: self.drop(record))
 
-    def _forget(self, record: Record) -> None:
+    def drop(self, record: Record) -> None:
         self.records.pop(record.id, None)
         if record.scope is not None and self.by_scope.get(record.scope) is record:
             del self.by_scope[record.scope]
--- a/maplestile/net/names.py
+++ b/maplestile/net/names.py
@@ -110,7 +110,7 @@
             raise dns.DnsError("a list without its serial")
         behind = self.fleet.behind(reply.serial)
         if behind and not self._restarted():
-            self._obey_drains(reply)
+            await self._obey_drains(reply)
             return
         self.behind_s = None
         if behind:
@@ -118,7 +118,7 @@
             log.warning("names: serials start anew, %d after %d", reply.serial, self.fleet.version)
         elif reply.serial == self.fleet.version and self.whole:
             return
-        await self._complete(reply)
+        await self._complete(reply, reply.targets)
         self._take(reply, reply.serial, behind or reply.serial == self.fleet.version)
 
     def _restarted(self) -> bool:
@@ -130,19 +130,20 @@
         self.counters["names.behind"] += 1
         return now_s - self.behind_s >= self.limits.names_restart_us / 1e6
 
-    def _obey_drains(self, reply: dns.Reply) -> None:
+    async def _obey_drains(self, reply: dns.Reply) -> None:
         """Of a list that is behind only what cannot have been taken back: a process that drains goes on to
         its end. What else it tells may have changed since."""
-        drained = []
-        for target in reply.targets:
+        serving = {uid for uid, entry in self.fleet.entries.items() if entry.state is WorkerState.RUNNING}
+        told_off = [t for t in reply.targets if t.priority and t.name.split(".")[0] in serving]
+        await self._complete(reply, told_off)
+        drained = list[str]()
+        for target in told_off:
             try:
                 told, _ = dns.entry(reply, target)
             except dns.DnsError:
                 continue
             known = self.fleet.entries.get(told.worker)
-            if known is None or known.started_us != told.started_us:
-                continue  # another process under that name
-            if known.state is WorkerState.RUNNING and told.state is WorkerState.DRAINING:
+            if known is not None and known.started_us == told.started_us:  # else another process
                 drained.append(told.worker)
         if drained:
             self.fleet.drain(drained)
@@ -174,7 +175,7 @@
             self.counters["names.lists"] += 1
             self.changed()
 
-    async def _complete(self, reply: dns.Reply) -> None:
+    async def _complete(self, reply: dns.Reply, targets: list[dns.Target]) -> None:
         """Ask for the hosts that one answer has no room for, some at once: one by one, each lost reply would
         keep back the whole list by a time-out more, and drains are told in it."""
         turns = asyncio.Semaphore(HOSTS_AT_ONCE)
@@ -186,7 +187,7 @@
             host = reply.hosts.setdefault(name.lower(), dns.Host())
             host.address, host.texts = host.address or told.address, host.texts or told.texts
 
-        asking = [asyncio.ensure_future(fill(*lacking)) for lacking in reply.lacking()]
+        asking = [asyncio.ensure_future(fill(*lacking)) for lacking in reply.lacking(targets)]
         if asking:
             try:
                 await asyncio.wait(asking, timeout=self.limits.names_complete_us / 1e6)
--- a/maplestile/net/stamps.py
+++ b/maplestile/net/stamps.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 WAITED_S = 0.00005  # a select that took longer than this did wait, so what it found had just come
+STOOD_S = 0.1  # one that came back so long after its time tells that the process stood still
 
 
 class StampedSelector(selectors.DefaultSelector):
@@ -14,6 +15,7 @@
         super().__init__()
         self.clock, self.since_us, self.returned_us = clock, clock(), clock()
         self.read_us = self.since_us
+        self.stood_us = 0  # since when it may have stood still, until it has caught up
         self.busiest_s, self.returned_s = 0.0, time.perf_counter()
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
@@ -22,8 +24,13 @@
         self.busiest_s = max(self.busiest_s, began - self.returned_s)
         found = super().select(timeout)
         self.returned_s = time.perf_counter()
-        now, waited = self.clock(), self.returned_s - began > WAITED_S
-        # Without a wait the event may be as old as the select before, whose work has kept the loop busy.
-        self.since_us = now if waited else self.returned_us
+        now, took = self.clock(), self.returned_s - began
+        if timeout is not None and took > max(0.0, timeout) + STOOD_S:
+            self.stood_us = self.returned_us
+        elif took > WAITED_S:
+            self.stood_us = 0
+        # Without a wait the event may be as old as the select before, whose work has kept the loop busy; and
+        # until the loop has caught up, as old as a standstill: so may be what a new connection brings.
+        self.since_us = self.stood_us or (now if took > WAITED_S else self.returned_us)
         self.returned_us = now
         return found
--- a/maplestile/wire/dns.py
+++ b/maplestile/wire/dns.py
@@ -1,7 +1,7 @@
 """The part of DNS (RFC 1035, SRV of RFC 2782) that the name server speaks: queries out, whole lists in."""
 
 import struct
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from maplestile.interface import WorkerEntry, WorkerState
@@ -44,9 +44,9 @@
     targets: list[Target] = field(default_factory=list)
     hosts: dict[str, Host] = field(default_factory=dict)
 
-    def lacking(self) -> Iterator[tuple[str, int]]:
+    def lacking(self, targets: Iterable[Target]) -> Iterator[tuple[str, int]]:
         """What must be asked for by itself, since this reply did not hold it."""
-        for target in self.targets:
+        for target in targets:
             host = self.hosts.get(target.name.lower(), Host())
             if not host.address:
                 yield target.name, A
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -344,6 +344,27 @@
         assert work_us <= told.fall_multiple * share * cores * told.fall_us
 
 
+def test_loads_that_many_dispatchers_order_at_a_cold_worker_stay_within_its_budget() -> None:
+    """A warm worker drains as a cold one comes: each of 100 dispatchers has homes to move. All of them
+    together bring the work that three workers of two cores carry."""
+    told, cores, arrived = settings(dispatchers=100, orders_free=1_000), 2.0, list[int]()
+    for seed in range(100):
+        d = Driver(told, [entry("w0"), entry("w1"), entry("w2")], seed)
+        for call in range(12):
+            d.run(1_700 * MS)
+            for send in sends(d.give(arrival(call, f"f{call % 6}"))):
+                d.give(ended(send.call, 0, send.worker, api.Result.OK, 100 * MS))
+        draining = entry("w2", api.WorkerState.DRAINING)
+        cold, joined = entry("cold", started_us=d.now), d.now
+        for action in d.give(fleet(draining, cold, kind=api.ListKind.DELTA)) + d.run(told.fall_us):
+            ordered = isinstance(action, api.Order) and action.worker == "cold"
+            arrived += [joined] if ordered else []
+            if isinstance(action, api.Order):
+                d.give(api.OrderEnded(action.worker, action.function, api.Result.OK, MS, 1))
+    budget = told.fall_multiple * told.cold_share * cores * told.fall_us / (100 * MS)
+    assert len(arrived) <= budget + 2 * budget**0.5 + 2
+
+
 def test_call_turned_away_elsewhere_does_not_land_on_a_cold_worker() -> None:
     for seed in range(40):
         d = Driver(settings(dispatchers=300), [entry("w0"), entry("cold", started_us=1_000_000 * MS)], seed)
@@ -568,3 +589,24 @@
     assert not sends(d.give(arrival(3, "b")))  # any function's load would meet the same queue
     assert [s.worker for s in sends(d.give(arrival(4, "stands")))] == [home]
     assert {s.call for s in sends(d.run(500 * MS))} >= {2}  # and is tried again soon
+
+
+def test_nothing_begins_for_a_client_that_has_gone_and_what_is_out_is_its_answer() -> None:
+    for name, over in (("safe", api.Refuse), ("unsafe", api.Fail)):
+        d = Driver(settings(), WORKERS)
+        (send,) = sends(d.give(arrival(1, name=name)))
+        assert d.give(api.ClientGone(1)) == []
+        done = d.run(1_500 * MS)  # silent for long: no second copy
+        done += d.give(ended(1, 0, send.worker, api.Result.ERROR)) + d.run(3_000 * MS)
+        assert not sends(done) and [type(a) for a in finals(done)] == [over]
+        assert not d.dispatcher.calls and not d.dispatcher.attempts
+
+
+def test_call_that_waits_is_given_up_the_moment_its_client_goes() -> None:
+    d = Driver(settings(dispatchers=1), WORKERS[:1])
+    home = served(d, 100, "f")
+    d.give(arrival(101, "f"))
+    d.give(ended(101, 0, home, api.Result.FULL, MS))  # it pauses, and its call is held
+    assert [type(a) for a in d.give(api.ClientGone(101))] == [api.Refuse]
+    assert not sends(d.run(5_000 * MS)) and not d.dispatcher.rows["f"].waiting
+    assert d.give(api.ClientGone(101)) == []
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -5,8 +5,10 @@
 import socket
 import unittest
 from collections import Counter
+from dataclasses import replace
 from typing import Any
 
+from maplestile.interface import Result
 from maplestile.limits import Limits
 from maplestile.net.platform import Platform
 from maplestile.net.reads import Inbox
@@ -171,3 +173,82 @@
             while self.front.clients:
                 await asyncio.sleep(0.005)
         self.assertEqual((self.counters["clients.too_slow"], self.rig.core.open), (1, {}))
+
+    async def test_nothing_begins_for_a_client_whose_close_stands_behind_a_flood(self) -> None:
+        """All of it, and the close, are in the system before the first byte is read."""
+        self.front.limits = replace(LIMITS, client_streams=10_000, client_write_bytes=1 << 20)
+        flood = socket.create_connection(self.server.address)
+        call = json.loads(message(limit=9_000))
+        many = [framed(json.dumps(call | {"id": id_, "method": "review"}).encode()) for id_ in range(1, 181)]
+        flood.sendall(b"".join(many))
+        flood.shutdown(socket.SHUT_WR)
+        self.assertGreater(sum(map(len, many)), 2 * LIMITS.client_read_bytes)
+        reader, writer = await asyncio.open_connection(sock=flood)
+        self.addCleanup(writer.close)
+        answers = [await self.answer(reader) for _ in many]
+        self.assertEqual({answer["id"] for answer in answers}, set(range(1, 181)))
+        self.assertEqual(self.rig.sent, [])
+        self.assertTrue(await self.closed(reader))
+
+    async def test_closed_client_leaves_nothing_behind_in_any_table(self) -> None:
+        """It waits for a connection, then for an answer, and nobody waits for it."""
+        for unwritten in (True, False):
+            reader, writer = await self.connect()
+            call = json.loads(message(limit=9_000))
+            writer.write(framed(json.dumps(call | {"id": 1, "method": "review"}).encode()))
+            async with asyncio.timeout(20):
+                while not self.rig.core.open:
+                    await asyncio.sleep(0.005)
+                (attempt,) = list(self.rig.core.flights)
+                self.rig.unwritten = {attempt} if unwritten else set()
+                writer.close()
+                while not self.rig.core.counters["requests.client_gone"] and not self.rig.core.answers:
+                    await asyncio.sleep(0.005)
+                if not unwritten:
+                    self.rig.core.attempt_ended(attempt, Result.MISS)
+                while self.front.clients:
+                    await asyncio.sleep(0.005)
+            core, dispatcher = self.rig.core, self.rig.core.dispatcher
+            self.assertEqual((core.open, core.flights, core.open_bytes), ({}, {}, 0))
+            self.assertEqual((dispatcher.calls, dispatcher.attempts), ({}, {}))
+            self.assertEqual([w.busy for w in dispatcher.workers.values()], [0, 0])
+            self.assertFalse(any(row.waiting for row in dispatcher.rows.values()))
+        self.assertEqual(len(self.rig.sent), 2)
+
+    async def test_answers_are_not_lost_to_a_reset_over_what_nobody_reads(self) -> None:
+        """Behind a message that cannot be followed more comes; the answer given before is read only then."""
+        reader, writer = await self.connect()
+        call = json.loads(message(limit=9_000))
+        writer.write(framed(json.dumps(call | {"id": 1, "method": "review"}).encode()))
+        writer.write(b"Content-Length: none\r\n\r\n" + bytes(60_000))
+        async with asyncio.timeout(20):
+            while not self.counters["clients.malformed"]:
+                await asyncio.sleep(0.005)
+            self.rig.core.attempt_ended(self.rig.sent[0], Result.OK, b"abc")
+            while self.front.clients:
+                await asyncio.sleep(0.005)
+        self.assertIn("error", await self.answer(reader))
+        self.assertEqual((await self.answer(reader))["id"], 1)
+        self.assertTrue(await self.closed(reader))
+
+    async def test_clients_that_close_and_never_read_their_answers_are_counted_and_let_go(self) -> None:
+        self.front.limits = replace(LIMITS, client_write_bytes=64 << 20, client_last_us=1_000_000)
+        deaf = list[socket.socket]()
+        async with asyncio.timeout(30):
+            for _ in range(2):
+                one = socket.create_connection(self.server.address)
+                deaf.append(one)
+                self.addCleanup(one.close)
+                while not (fresh := [c for c in self.front.clients if not c.parted]):
+                    await asyncio.sleep(0.005)
+                self.front._write(fresh[-1], bytes(16 << 20))
+                one.shutdown(socket.SHUT_WR)
+                while self.front.clients:
+                    await asyncio.sleep(0.005)
+            self.assertEqual(len(self.front.closing), 2)
+            reader, writer = await self.connect()  # at the cap: the first of them makes room
+            writer.write(framed(b'{"id":1,"method":"check"}'))
+            await self.answer(reader)
+            self.assertEqual((len(self.front.closing), self.counters["clients.made_room"]), (1, 1))
+            while self.front.owes():
+                await asyncio.sleep(0.01)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -1,6 +1,7 @@
 """The runner pool between a core's stand-in and a worker's: what a rule asks is checked at the write."""
 
 import asyncio
+import errno
 import unittest
 import unittest.mock
 from collections import Counter
@@ -53,6 +54,33 @@
             while not all((n, 0) in self.ends.ended for n in numbers):
                 await asyncio.sleep(0.005)
 
+    async def test_attempt_that_is_withheld_never_goes_and_one_that_is_out_goes_on(self) -> None:
+        self.send(1, b"x")
+        self.send(2, b"y")
+        self.assertTrue(self.pool.withhold((1, 0)))
+        self.assertFalse(self.pool.withhold((1, 0)))  # it is forgotten
+        await self.until(2)
+        self.assertEqual([line["call"] for line in self.worker.lines], ["t2"])
+        self.send(3, b"hang:")
+        async with asyncio.timeout(20):
+            while len(self.worker.ran) < 2:
+                await asyncio.sleep(0.005)
+        self.assertFalse(self.pool.withhold((3, 0)))
+        self.worker.die()
+        await self.until(3)
+        self.assertEqual((self.ends.ended[3, 0], set(self.ends.ended)), (Result.RESET, {(2, 0), (3, 0)}))
+        self.assertNotIn("states.forbidden", self.counters)
+
+    async def test_connection_without_a_descriptor_says_nothing_of_the_runner(self) -> None:
+        """Clients hold them all: one of those has to make room, and the call goes on elsewhere."""
+        starved = list[int]()
+        self.pool.starved = lambda: starved.append(1)
+        none_left = OSError(errno.EMFILE, "Too many open files")
+        with unittest.mock.patch("asyncio.open_connection", side_effect=none_left):
+            self.send(1, b"x")
+            await self.until(1)
+        self.assertEqual((self.ends.ended[1, 0], starved), (Result.MOOT, [1]))
+
     async def test_send_that_waits_for_its_connection_goes_stale_when_its_runner_is_suspended(self) -> None:
         self.send(1, b"x")
         self.pool.probe(7, "s-0")
