--- a/maplestile/net/http.py
+++ b/maplestile/net/http.py
@@ -147,8 +147,7 @@
         """The first bytes of a request: the client may take its time, and may have to make room."""
         self.http.idle[self] = None
         try:
-            async with asyncio.timeout(self.http.bounds.idle_s):
-                data = await self.reader.read(READ_BYTES)
+            data = await reads.within(self.http.bounds.idle_s, lambda: self.reader.read(READ_BYTES))
         finally:
             self.http.idle.pop(self, None)
         self.http.begun[self] = None
@@ -158,8 +157,8 @@
     async def _more(self, due_s: float) -> bytes:
         """Guards the descriptors against requests that come a byte at a time, for ever."""
         try:
-            async with asyncio.timeout_at(due_s):
-                return await self.reader.read(READ_BYTES)
+            left_s = due_s - asyncio.get_running_loop().time()
+            return await reads.within(left_s, lambda: self.reader.read(READ_BYTES))
         except TimeoutError:
             raise TooSlow from None
 
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -183,17 +183,21 @@
                 self._stirred(client)
 
     async def _read(self, client: Client) -> bytes:
+        most = self.limits.client_read_bytes
         if client.greeted and not client.framer.rest:  # it may stay for good, and ask again or not
-            data = await client.reader.take(self.limits.client_read_bytes)
+            data = await client.reader.take(most)
             client.since_us = self.core.clock()
             return data
-        # Guards the descriptors against connections that say nothing, or half a message, for ever.
-        left_us = client.since_us + self.limits.client_message_us - self.core.clock()
-        try:
-            async with asyncio.timeout(left_us / 1e6):
-                return await client.reader.take(self.limits.client_read_bytes)
-        except TimeoutError:
-            raise wire.FramingError("no whole message in time") from None
+        # Guards the descriptors against connections that say nothing, or half a message, for ever. One that
+        # is owed an answer stands anyway, and what it sends while that is on its way would go unread.
+        while True:
+            left_us = client.since_us + self.limits.client_message_us - self.core.clock()
+            try:
+                return await reads.within(left_us / 1e6, lambda: client.reader.take(most))
+            except TimeoutError:
+                if not client.calls:
+                    raise wire.FramingError("no whole message in time") from None
+                client.since_us = self.core.clock()
 
     async def _all_answered(self, client: Client) -> None:
         while client.calls and not client.writer.is_closing():
--- a/maplestile/net/reads.py
+++ b/maplestile/net/reads.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import errno
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 NO_DESCRIPTOR = errno.EMFILE, errno.ENFILE
+LAST_LOOK_S = 0.01
 
 
 def bound(transport: asyncio.BaseTransport, most: int) -> None:
@@ -16,6 +17,17 @@
     transport.max_size = most  # type: ignore[attr-defined]
 
 
+async def within(seconds: float, read: Callable[[], Awaitable[bytes]]) -> bytes:
+    """Read, or raise TimeoutError. Guards what came in time to a loop that was busy until the time was over:
+    in one turn the loop then finds the bytes, and ends the wait for them."""
+    try:
+        async with asyncio.timeout(seconds):
+            return await read()
+    except TimeoutError:
+        async with asyncio.timeout(LAST_LOOK_S):
+            return await read()
+
+
 class Inbox(asyncio.StreamReader):
     """A stream that tells at once that its peer has closed, though what came before is not taken up yet; and
     from when on what is read can have waited."""
--- a/maplestile/net/runners.py
+++ b/maplestile/net/runners.py
@@ -94,7 +94,7 @@
             return await reader.read(self.limits.runner_read_bytes)
         # A line that was begun comes soon, or never: its writer stopped short, and all behind it waits.
         try:
-            async with asyncio.timeout(self.limits.runner_line_us / 1e6):
-                return await reader.read(self.limits.runner_read_bytes)
+            most = self.limits.runner_read_bytes
+            return await reads.within(self.limits.runner_line_us / 1e6, lambda: reader.read(most))
         except TimeoutError:
             raise wire.LineError("a line that does not go on") from None
