--- a/maplestile/limits.py
+++ b/maplestile/limits.py
@@ -6,6 +6,7 @@
 
 IDLE_MARGIN = 0.8  # of the runner's idle time: the router closes first, so that no send meets a close
 RESERVE = 32  # descriptors for listeners, log, name server, interpreter, and a burst of accepts
+BURSTS = 32  # accepted and not counted yet, or turned away and not closed yet: two bursts
 BASE_MB = 20  # what the program takes before it has served anything
 KB, MB = 1024, 1 << 20
 ANSWER_BYTES = 230_000  # the longest body that a runner answers with
@@ -118,11 +119,11 @@
         """The budgets of one of so many processes that live side by side."""
         default, descriptors = type(self)(), self.descriptors // live
         # Runners are few, with a handful of connections each; clients hold a third, and come and go.
-        runners = max(1, descriptors // 2 - RESERVE)
+        runners = max(1, descriptors // 2 - RESERVE - BURSTS)
         spare = int(max(8, self.memory_mb / live - BASE_MB)) << 20
         return replace(
             self,
-            client_connections=max(1, descriptors - runners - RESERVE - self.operator_connections),
+            client_connections=max(1, descriptors - runners - RESERVE - BURSTS - self.operator_connections),
             runner_connections=runners,
             open_bytes=min(default.open_bytes, spare // 3),
             all_write_bytes=(unread := min(default.all_write_bytes, spare // 8)),
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import pytest
+
 from maplestile import interface as api
 from maplestile.core import AttemptId, Core, Outcome, Request, Verdict
 from maplestile.interface import Result
@@ -151,3 +153,17 @@
     assert (rig.answers[-1].verdict, rig.answers[-1].retry_after_us) == (Verdict.REFUSED, 0)
     rig.run(200_000)
     assert len(rig.answers) == 3 and not rig.core.open
+
+
+def test_timer_that_fails_keeps_back_no_later_one() -> None:
+    rig = Rig()
+
+    def fail() -> None:
+        raise ValueError("a fault of the program")
+
+    rig.core.at(rig.now + 10_000, fail)
+    rig.submit("test-submit", budget_us=1_000_000)
+    with pytest.raises(ValueError, match="fault"):
+        rig.run(20_000)
+    rig.run(1_000_000)
+    assert [answer.verdict for answer in rig.answers] == [Verdict.EXPIRED]
