--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -54,11 +54,11 @@
 
 class Platform:
     def __init__(
-        self, core: Core, limits: Limits, counters: Counter[str], came: Callable[[], int],
+        self, core: Core, limits: Limits, counters: Counter[str], stamps: reads.Stamps,
         ready: Callable[[], bool],
     ) -> None:  # fmt: skip
         self.core, self.limits, self.counters = core, limits, counters
-        self.came, self.ready = came, ready
+        self.stamps, self.ready = stamps, ready
         self.known = wire.Known.of(core.settings)
         self.clients: dict[Client, None] = {}  # the one that was silent longest first
         self.closing: dict[Client, None] = {}  # they have yet to read answers; the first to close first
@@ -67,7 +67,7 @@
         limits = self.limits
 
         def inbox() -> reads.Inbox:
-            return reads.Inbox(limits.client_read_bytes, self.came)
+            return reads.Inbox(limits.client_read_bytes, self.stamps)
 
         burst, queue = limits.accept_burst, limits.accept_queue
         return await listen(host, port, self._serve, inbox, burst, queue, shared)
--- a/maplestile/net/reads.py
+++ b/maplestile/net/reads.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 NO_DESCRIPTOR = errno.EMFILE, errno.ENFILE
 LAST_LOOK_S = 0.01
@@ -28,24 +29,37 @@
             return await read()
 
 
+class Stamps(Protocol):
+    @property
+    def since_us(self) -> int:
+        """The earliest moment at which bytes that are found just now can have come."""
+        ...
+
+    @property
+    def rested_us(self) -> int:
+        """When the loop last had nothing to do."""
+        ...
+
+
 class Inbox(asyncio.StreamReader):
     """A stream that tells at once that its peer has closed, though what came before is not taken up yet; and
     from when on what is read can have waited."""
 
-    def __init__(self, limit: int, came: Callable[[], int]) -> None:
+    def __init__(self, limit: int, stamps: Stamps) -> None:
         super().__init__(limit)
         self.most = limit
-        self.came = came  # the earliest moment at which bytes found just now can have come
-        self.came_us = 0  # that of the bytes that were read last
+        self.stamps, self.rested_us = stamps, 0
+        self.came_us = 0  # the earliest moment at which the bytes that were read last can have come
         self.full = False  # the last read took all it could, so more had come with it, perhaps, and waits
         self.held = 0  # bytes read, and not taken up yet
         self.ended = False
         self.on_end: Callable[[], object] = lambda: None
 
     def feed_data(self, data: bytes) -> None:  # type: ignore[override]
-        if not self.full:  # what a flood leaves in the system is as old as its first bytes
-            self.came_us = self.came()
-        self.full = len(data) >= self.most
+        # What a flood leaves in the system is as old as its first bytes, until the loop has caught up.
+        if not self.full or self.stamps.rested_us != self.rested_us:
+            self.came_us = self.stamps.since_us
+        self.full, self.rested_us = len(data) >= self.most, self.stamps.rested_us
         self.held += len(data)
         super().feed_data(data)
 
--- a/maplestile/net/stamps.py
+++ b/maplestile/net/stamps.py
@@ -15,6 +15,7 @@
         super().__init__()
         self.clock, self.since_us, self.returned_us = clock, clock(), clock()
         self.read_us = self.since_us
+        self.rested_us = 0  # when it last waited: then nothing that had come was left to be read
         self.stood_us = 0  # since when it may have stood still, until it has caught up
         self.busiest_s, self.returned_s = 0.0, time.perf_counter()
 
@@ -28,7 +29,7 @@
         if timeout is not None and took > max(0.0, timeout) + STOOD_S:
             self.stood_us = self.returned_us
         elif took > WAITED_S:
-            self.stood_us = 0
+            self.stood_us, self.rested_us = 0, now
         # Without a wait the event may be as old as the select before, whose work has kept the loop busy; and
         # until the loop has caught up, as old as a standstill: so may be what a new connection brings.
         self.since_us = self.stood_us or (now if took > WAITED_S else self.returned_us)
--- a/maplestile/node.py
+++ b/maplestile/node.py
@@ -253,7 +253,7 @@
     async def _listen(self) -> list[Listener]:
         fronts = list[Listener]()
         if self.config.listen is not None:
-            self.platform = Platform(self.core, self.limits, self.counters, self._came, self._ready)
+            self.platform = Platform(self.core, self.limits, self.counters, self.selector, self._ready)
             # Also where the folder is of no use: two processes that cannot hand over may still serve in turn.
             shared = self.config.operation is not None and self.config.operator is None
             fronts.append(await self.platform.start(*self.config.listen, shared))
@@ -340,10 +340,6 @@
             log.info("%s: budgets for %d processes side by side", self.name, self.live)
             self._limit()
 
-    def _came(self) -> int:
-        """For bytes that are being read from their socket."""
-        return self.selector.since_us
-
     def _received(self) -> int:
         """For bytes that a stream hands on, one turn after they were read."""
         return self.selector.read_us
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -6,7 +6,7 @@
 import time
 import unittest
 from collections import Counter
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 from maplestile.interface import Result
@@ -21,11 +21,29 @@
 )  # fmt: skip
 
 
+@dataclass
+class Stamps:
+    since_us: int = 0
+    rested_us: int = 0
+
+
+def test_bytes_behind_a_flood_are_as_old_as_it_until_the_loop_has_rested() -> None:
+    stamps = Stamps(100, 7)
+    inbox = Inbox(4, stamps)
+    for since_us, rested_us, data, came_us in (
+        (100, 7, b"xxxx", 100), (200, 7, b"xxxx", 100), (300, 8, b"xxxx", 300), (400, 8, b"x", 300),
+        (500, 8, b"x", 500),
+    ):  # fmt: skip
+        stamps.since_us, stamps.rested_us = since_us, rested_us
+        inbox.feed_data(data)
+        assert inbox.came_us == came_us
+
+
 class FrontTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.rig, self.counters, self.ready = Rig(), Counter[str](), False
         self.front = Platform(
-            self.rig.core, LIMITS, self.counters, lambda: self.rig.now, lambda: self.ready
+            self.rig.core, LIMITS, self.counters, Stamps(self.rig.now), lambda: self.ready
         )
         self.server = await self.front.start("127.0.0.1", 0, False)
         self.addCleanup(self.server.close)
@@ -145,7 +163,7 @@
                 await asyncio.sleep(0.005)
         client = next(iter(self.front.clients))
         self.assertTrue(self.front.make_room())
-        client.reader = Inbox(1 << 16, lambda: 0)
+        client.reader = Inbox(1 << 16, Stamps())
         client.reader.feed_data(framed(message(limit=9_000)))  # read before the close, handled after it
         await self.front._read_all(client)
         self.assertEqual(self.rig.core.counters["requests.taken"], 0)
