--- a/maplestile/net/stamps.py
+++ b/maplestile/net/stamps.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 WAITED_S = 0.00005  # a select that took longer than this did wait, so what it found had just come
-STOOD_S = 0.1  # one that came back so long after its time tells that the process stood still
+STOOD_S = 0.1  # so long between two selects, or after the end of one: the process was busy, or stood still
 
 
 class StampedSelector(selectors.DefaultSelector):
@@ -21,17 +21,22 @@
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         began = time.perf_counter()
+        busy_s = began - self.returned_s
         self.read_us = self.since_us  # a stream's reader runs one turn after the select that found its bytes
-        self.busiest_s = max(self.busiest_s, began - self.returned_s)
-        found = super().select(timeout)
+        self.busiest_s = max(self.busiest_s, busy_s)
+        # After a long time the first look is one without a wait: what it finds was there before.
+        found = super().select(0) if busy_s > STOOD_S else []
+        rested = not found and timeout != 0
+        if not found:
+            found = super().select(timeout)
         self.returned_s = time.perf_counter()
         now, took = self.clock(), self.returned_s - began
-        if timeout is not None and took > max(0.0, timeout) + STOOD_S:
+        if (timeout is not None and took > max(0.0, timeout) + STOOD_S) or (busy_s > STOOD_S and not rested):
             self.stood_us = self.returned_us
-        elif took > WAITED_S:
+        elif rested and took > WAITED_S:
             self.stood_us, self.rested_us = 0, now
         # Without a wait the event may be as old as the select before, whose work has kept the loop busy; and
         # until the loop has caught up, as old as a standstill: so may be what a new connection brings.
-        self.since_us = self.stood_us or (now if took > WAITED_S else self.returned_us)
+        self.since_us = self.stood_us or (now if rested and took > WAITED_S else self.returned_us)
         self.returned_us = now
         return found
