--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -27,18 +27,6 @@
     rested_us: int = 0
 
 
-def test_bytes_behind_a_flood_are_as_old_as_it_until_the_loop_has_rested() -> None:
-    stamps = Stamps(100, 7)
-    inbox = Inbox(4, stamps)
-    for since_us, rested_us, data, came_us in (
-        (100, 7, b"xxxx", 100), (200, 7, b"xxxx", 100), (300, 8, b"xxxx", 300), (400, 8, b"x", 300),
-        (500, 8, b"x", 500),
-    ):  # fmt: skip
-        stamps.since_us, stamps.rested_us = since_us, rested_us
-        inbox.feed_data(data)
-        assert inbox.came_us == came_us
-
-
 class FrontTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.rig, self.counters, self.ready = Rig(), Counter[str](), False
@@ -307,3 +295,14 @@
         for attempt in self.rig.sent[:]:
             self.rig.core.attempt_ended(attempt, Result.OK, b"abc")
         self.assertEqual({(await self.answer(reader))["id"] for _ in range(2)}, {1, 2})
+
+    async def test_bytes_behind_a_flood_are_as_old_as_it_until_the_loop_has_rested(self) -> None:
+        stamps = Stamps(100, 7)
+        inbox = Inbox(4, stamps)
+        for since_us, rested_us, data, came_us in (
+            (100, 7, b"xxxx", 100), (200, 7, b"xxxx", 100), (300, 8, b"xxxx", 300), (400, 8, b"x", 300),
+            (500, 8, b"x", 500),
+        ):  # fmt: skip
+            stamps.since_us, stamps.rested_us = since_us, rested_us
+            inbox.feed_data(data)
+            self.assertEqual(inbox.came_us, came_us)
