Have two tests of the endings tell the mend from luck

Each test of the endings was run with its mend taken out. All failed but one: where the process no longer answers what outlasts it, the order in which its tasks end at the exit could still bring the client an error answer, so that test passed by luck. It now asks that nothing was owed at the exit, and failed without the mend twice of twice. A weight of 0, less, or no number in the list had no test; it has one, which fails without the mend.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -184,6 +184,8 @@
         self.assertEqual((answer.get("id"), "error" in answer), (id_, True))
         self.assertEqual(self.program.process.wait(PATIENCE_S), 0)
         self.assertLess(time.monotonic() - began, 3.7)  # SIGKILL: 0.7 s after 3 s, or the longest deadline
+        # Not by luck, as its parts fall: what ends a worker's connection first would bring an answer, too.
+        self.program.find("(nothing is owed)")
         client.close()
 
     def test_client_that_never_reads_its_answers_does_not_keep_the_process(self) -> None:
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -153,3 +153,11 @@
     now[0] = 10.0
     assert passed(logging.WARNING, "odd") == "odd (and 3 more like it, not shown)"
     assert passed(logging.WARNING, "odd") == "odd"
+
+
+def test_weight_that_no_draw_can_use_is_a_very_small_one() -> None:
+    for weight in (0.0, -1.0, float("nan"), float("inf")):
+        fleet = Fleet()
+        entry = api.WorkerEntry("s-1", "east", "std", 0, api.WorkerState.RUNNING, weight, 0)
+        assert fleet.apply_whole(1, [(entry, ("127.0.0.1", 9))])
+        assert 0 < fleet.entries["s-1"].weight < 1
