Let settings without a time of cold or of falling bar no worker

Seen on rereading the change: the new gate for cold workers divides by `cold_us` before it looks whether that is over, and by `fall_us` for its spans (ramp_allows).

--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -318,11 +318,11 @@
     def ramp_allows(self, worker: Worker, rules: api.Settings, work_us: float, least: int) -> bool:
         """Rule 4 for the fleet: each sends a part of its usual calls, or of `least`, rounded by a draw of its
         own for each span. Loads have no least: they ask till they may. Storms tell endless work."""
-        risen = max(0, self.now - worker.entry.started_us) / rules.cold_us  # evenly, at the slowest
+        risen = max(0, self.now - worker.entry.started_us) / max(1, rules.cold_us)  # evenly, at the slowest
         if not worker.entry.started_us or risen >= 1: return True
         part = RAMP_SAFETY * rules.fall_multiple * (rules.cold_share + (1 - rules.cold_share) * risen)
         usual_us = self.rate() * rules.fall_us * worker.entry.weight / self.weights
-        drawn = mixed(self.salt ^ worker.salt, digest(str((self.now + self.salt) // rules.fall_us)))
+        drawn = mixed(self.salt ^ worker.salt, digest(str((self.now + self.salt) // max(1, rules.fall_us))))
         return worker.sends.total(self.now) + drawn * work_us < part * max(least * work_us, usual_us)
 
     def order(self, row: Row, worker: Worker, renew: bool = False) -> bool:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -612,3 +612,9 @@
     assert [type(a) for a in d.give(api.ClientGone(101))] == [api.Refuse]
     assert not sends(d.run(5_000 * MS)) and not d.dispatcher.rows["f"].waiting
     assert d.give(api.ClientGone(101)) == []
+
+
+def test_settings_without_a_time_of_cold_or_of_falling_bar_no_worker() -> None:
+    for told in (settings(cold_us=0), settings(fall_us=0), settings(cold_us=0, fall_us=0)):
+        d = Driver(told, [entry("w0"), entry("w1", started_us=999_999 * MS)])
+        assert sends([a for call in range(8) for a in d.give(arrival(call, f"f{call}"))])
