--- a/maplestile/net/http.py
+++ b/maplestile/net/http.py
@@ -1,7 +1,6 @@
 """The driver of the HTTP fronts: HTTP/1.1 by h11 over asyncio streams, each front with bounds of its own."""
 
 import asyncio
-import contextlib
 import logging
 from collections import Counter
 from collections.abc import Callable
@@ -211,14 +210,10 @@
                 leave()
 
     async def _refuse(self, response: Response) -> None:
-        """Answer and close. What still comes is read away for a moment: the system answers bytes that nobody
-        reads with a reset, which would take the answer along."""
+        """Answer and close; what still comes is read away for a moment."""
         await self._write(response, True)
-        self.writer.write_eof()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self.http.bounds.linger_us / 1e6):
-                while await self.reader.read(READ_BYTES):
-                    pass
+        linger_s = self.http.bounds.linger_us / 1e6
+        await reads.away(self.writer, lambda: self.reader.read(READ_BYTES), linger_s)
 
     async def _write(self, response: Response, close: bool) -> None:
         length = [] if response.status == 204 else [("Content-Length", str(len(response.body)))]
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -143,16 +143,12 @@
             self.closing.pop(client, None)
 
     async def _read_away(self, client: Client) -> None:
-        """Guards the answers just given: the system answers what nobody reads with a reset, and that would
-        take them along."""
+        """Guards the answers just given, behind which more may come."""
         if client.writer.is_closing() or client.reader.ended:
             return
         client.parted = True
-        client.writer.write_eof()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self.limits.client_linger_us / 1e6):
-                while await client.reader.take(self.limits.client_read_bytes):
-                    pass
+        most, linger_s = self.limits.client_read_bytes, self.limits.client_linger_us / 1e6
+        await reads.away(client.writer, lambda: client.reader.take(most), linger_s)
 
     def _ended(self, client: Client) -> None:
         """The client has closed: it is told apart from one that waits, at once, for all that it asked."""
--- a/maplestile/net/reads.py
+++ b/maplestile/net/reads.py
@@ -1,6 +1,7 @@
 """How much asyncio reads from a socket in one go, and what is known of it before it is taken up."""
 
 import asyncio
+import contextlib
 import errno
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -29,6 +30,16 @@
             return await read()
 
 
+async def away(writer: asyncio.StreamWriter, read: Callable[[], Awaitable[bytes]], seconds: float) -> None:
+    """End this side, and read away for a moment what still comes: the system answers bytes that nobody reads
+    with a reset, which would take the last answers along."""
+    writer.write_eof()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            while await read():
+                pass
+
+
 class Stamps(Protocol):
     @property
     def since_us(self) -> int:
