--- a/tests/standins.py
+++ b/tests/standins.py
@@ -204,8 +204,8 @@
 class Client:
     """A JSON-RPC client of the platform's front."""
 
-    def __init__(self, port: int) -> None:
-        self.socket = socket.create_connection(("127.0.0.1", port), timeout=PATIENCE_S)
+    def __init__(self, port: int, link: socket.socket | None = None) -> None:
+        self.socket = link or socket.create_connection(("127.0.0.1", port), timeout=PATIENCE_S)
         self.file = self.socket.makefile("rb")
         self.id = 0
         self.held, self.holding = b"", False
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -118,9 +118,7 @@
         self.client.served("review", b"abc")
         for ending in ("close", "interrupt"):
             self.program.process.send_signal(signal.SIGSTOP)
-            other = Client.__new__(Client)
-            other.socket = socket.create_connection(("127.0.0.1", self.program.port("platform")))
-            other.file, other.id, other.held, other.holding = other.socket.makefile("rb"), 0, b"", False
+            other = Client(self.program.port("platform"))
             id_ = other.call("review", b"late")
             if ending == "close":
                 other.close()
@@ -192,8 +190,7 @@
         deaf = socket.socket()
         deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         deaf.connect(("127.0.0.1", self.port))
-        client = Client.__new__(Client)
-        client.socket, client.id, client.held, client.holding = deaf, 0, b"", False
+        client = Client(self.port, deaf)
         for _ in range(14):
             client.call("review", b"long:")
         eventually(lambda: self.program.counters().get("answers.served", 0) >= 14, "the answers")
