End each connection behind its last answer in a drain whose clients never stop

Checked: the client is reset without a FIN before, so this side closed a connection that it had not ended, with bytes unread. The program always left 3.5 s after SIGTERM, its last moment: eight callers that ask at once again leave no look (every 20 ms) in which nothing is owed, so `_drain` came to `_part` at end_us only, whose loop then does not run at all, and the exit closed the connections as they stood. Ruled out: the queue of the listener (accepted before), answers not written (none was owed).

At fault: node.py, `_drain` (no end of the wait for a moment in which nothing is owed) and `_part` (nothing ends what still stands at end_us); platform.py, `part` (ends only what a look finds at rest, and in the midst of what one read has brought). On an invoke front alone the same wait had no end at all: a rollout's drain waits for it for ever.

Mend: 1.9 s after SIGTERM nothing more is taken (`Core.close`), and each connection ends with the last answer it is owed, not between two messages of one read; at the very end this side closes behind the answers, whatever is unread. `Listener.finish` met no descriptor with an endless loop; idle clients now make room, and it has an end.

--- a/maplestile/core.py
+++ b/maplestile/core.py
@@ -141,7 +141,8 @@
     decided: Counter[str] = field(init=False)  # of the epoch in force
     armed: int = 0
     acting: bool = False
-    leave_us: int = 0  # when the process ends while another one serves; 0 if it stays
+    leave_us: int = 0  # when the process ends; 0 if it stays
+    closed: bool = False  # nothing more is taken
 
     def __post_init__(self) -> None:
         self.dispatcher, self.move = Dispatcher(self.settings, self.seed), Move(self.counters)
@@ -173,9 +174,11 @@
         # Guards memory against a flood, and the requests in hand against a loop that lags ever more.
         lags = now - received_us > self.limits.lag_most_us
         barred = self.admits is not None and not self.admits()  # the policy to decide by is not known
-        if barred or full or lags or (leaving and due_us - now < self.limits.handover_least_us):
+        late = leaving and due_us - now < self.limits.handover_least_us
+        if barred or full or lags or late or self.closed:
             self.counters["requests.shed"] += 1
-            later_us = 0 if leaving else self.limits.max_retry_after_us  # the other process takes it at once
+            # Another process takes it at once.
+            later_us = 0 if leaving or self.closed else self.limits.max_retry_after_us
             self._finish(call, Outcome(Verdict.REFUSED, retry_after_us=later_us))
             return call
         self.decided["calls"] += 1
@@ -210,6 +213,10 @@
         self.leave_us = by_us
         self.at(by_us, self._end_all)
 
+    def close(self) -> None:
+        """Nothing more is taken: what comes from now on is refused, and what is open ends in its own time."""
+        self.closed = True
+
     def _end_all(self) -> None:
         for call in list(self.open):
             self._end(call)
--- a/maplestile/limits.py
+++ b/maplestile/limits.py
@@ -88,6 +88,8 @@
     handover_linger_us: int = 100_000
     # The end: connections still come for 0.4 s after SIGTERM, requests on open ones for 0.2 s more.
     drain_least_us: int = 900_000
+    # And then for a moment in which nothing is owed: where clients never stop, nothing more is taken later.
+    drain_patience_us: int = 1_000_000
     # One read of a socket. A stream holds up to twice as much, so that a client has under 50 KB read ahead.
     runner_read_bytes: int = 32 * KB
     client_read_bytes: int = 16 * KB
--- a/maplestile/net/http.py
+++ b/maplestile/net/http.py
@@ -72,7 +72,7 @@
         """The last of a drain, when nothing is owed: nobody is accepted any more, what the queue held and
         what comes meanwhile is still answered, and then this side of each connection ends while it rests.
         Guards calls that come just then: closed at once, their connections lost them without an answer."""
-        await listener.finish()
+        await listener.finish(QUIET_S)
         await asyncio.sleep(QUIET_S)  # those just accepted have yet to be read
         until_s = asyncio.get_running_loop().time() + WRITE_S
         while self.connections > len(self.idle) and asyncio.get_running_loop().time() < until_s:
--- a/maplestile/net/listen.py
+++ b/maplestile/net/listen.py
@@ -27,17 +27,23 @@
         if self.server is not None:
             self.server.close()
 
-    async def finish(self) -> None:
-        """Accept all that waits, and close with the queue empty: what a closed queue holds is reset."""
+    async def finish(self, patience_s: float, starved: Callable[[], object] = lambda: None) -> None:
+        """Accept all that waits, and close with the queue empty: what a closed queue holds is reset. Where
+        there is no descriptor, `starved` makes one; guards the end of the process, which waited for ever."""
         if self.socket.fileno() < 0:
             return
-        asyncio.get_running_loop().remove_reader(self.socket)
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self.socket)
+        until_s = loop.time() + patience_s
         while True:
             try:
                 peer, _ = self.socket.accept()
             except BlockingIOError:
                 break  # and nothing is awaited between this and the close
             except OSError:
+                if loop.time() >= until_s:
+                    break
+                starved()
                 await asyncio.sleep(FULL_S)
             else:
                 await self._adopt(peer)
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -36,6 +36,7 @@
     idle: asyncio.Event = field(default_factory=asyncio.Event)
     stirred_us: int = 0  # when it last asked or was answered
     parted: bool = False  # this side of the connection has ended
+    taking: bool = False  # of what was read not all is handled yet
 
     def unread(self) -> int:
         """What waits to be taken up, here or in the system."""
@@ -62,6 +63,8 @@
         self.known = wire.Known.of(core.settings)
         self.clients: dict[Client, None] = {}  # the one that was silent longest first
         self.closing: dict[Client, None] = {}  # they have yet to read answers; the first to close first
+        self.parting = False  # each connection ends as soon as nothing is open or unread on it
+        self.ending = False  # and whatever is unread
 
     async def start(self, host: str, port: int, shared: bool) -> Listener:
         limits = self.limits
@@ -86,13 +89,27 @@
 
     def part(self, quiet_us: int) -> None:
         """End this side of each connection on which nothing is open, unread or begun, and nothing has come or
-        gone for a while: a request that crosses the end finds a clean close, and goes again elsewhere."""
-        until_us = self.core.clock() - quiet_us
+        gone for a while: a request that crosses the end finds a clean close, and goes again elsewhere. With
+        no such while each further connection ends with the last answer that it is owed: guards against a
+        client that asks again the moment it is answered, and is never found at rest."""
+        self.parting = quiet_us == 0
         for client in list(self.clients):
-            quiet = not client.calls and not client.framer.rest and client.stirred_us <= until_us
-            if quiet and not client.parted and not client.writer.is_closing() and not client.unread():
-                client.parted = True
-                client.writer.write_eof()
+            self._part(client, quiet_us)
+
+    def end(self) -> None:
+        """The process ends now: what is unread stays so, but each client finds a clean close behind its
+        answers, where the exit alone would reset the connection and take them along."""
+        self.parting = self.ending = True
+        for client in list(self.clients):
+            self._part(client)
+
+    def _part(self, client: Client, quiet_us: int = 0) -> None:
+        if client.calls or client.parted or client.writer.is_closing():
+            return
+        begun = client.taking or client.framer.rest or client.unread()
+        if self.ending or not (begun or client.stirred_us > self.core.clock() - quiet_us):
+            client.parted = True
+            client.writer.write_eof()
 
     async def _serve(self, reader: reads.Inbox, writer: asyncio.StreamWriter) -> None:
         held = len(self.clients) + len(self.closing)
@@ -166,6 +183,7 @@
             received_us, whole = client.reader.came_us, 0
             if client.reader.full:
                 client.look()
+            client.taking = True
             for whole, view in enumerate(client.framer.feed(data), 1):
                 client.greeted = True
                 self._message(client, view, received_us)
@@ -174,6 +192,10 @@
                     await asyncio.sleep(0)
                     if client.writer.is_closing():
                         return
+                if client.parted:  # the process ends now
+                    self.counters["clients.crossed"] += 1
+                    break
+            client.taking = False
             if whole:
                 client.since_us = received_us
                 self._stirred(client)
@@ -208,6 +230,8 @@
         if client in self.clients:
             del self.clients[client]
             self.clients[client] = None
+        if self.parting:
+            self._part(client)
 
     def make_room(self) -> bool:
         """At the cap one that is owed nothing makes room: one that this side has ended, or else the first
@@ -288,7 +312,7 @@
 
     def _write(self, client: Client, data: bytes) -> None:
         transport = client.writer.transport
-        if transport.is_closing():
+        if transport.is_closing() or client.parted:  # a time that ends there tells nobody of it
             client.idle.set()
             return
         client.writer.write(data)
--- a/maplestile/node.py
+++ b/maplestile/node.py
@@ -66,6 +66,7 @@
         self.began_us, self.live = clock(), 1
         self.api: Api | None = None
         self.invoke: tuple[Http, Listener] | None = None
+        self.accepting: Listener | None = None  # the platform's front
         self.names: Names | None = None
         self.asking: asyncio.Task[None] | None = None
         self.platform: Platform | None = None
@@ -256,8 +257,9 @@
             self.platform = Platform(self.core, self.limits, self.counters, self.selector, self._ready)
             # Also where the folder is of no use: two processes that cannot hand over may still serve in turn.
             shared = self.config.operation is not None and self.config.operator is None
-            fronts.append(await self.platform.start(*self.config.listen, shared))
-            self._listens("platform", fronts[-1])
+            self.accepting = await self.platform.start(*self.config.listen, shared)
+            fronts.append(self.accepting)
+            self._listens("platform", self.accepting)
         if (operator := self.config.operator) is not None:
             from maplestile.invoke.api import Api
             from maplestile.net.http import Http
@@ -360,9 +362,9 @@
         """Go on serving what comes; clients hear of the end late. Leave when nothing is owed."""
         log.info("%s was asked to stop; %d requests open", self.name, len(self.core.open))
         told_us, limits = clock(), self.limits
-        until = told_us + limits.drain_least_us
         longest_us = max(kind.deadline_us for kind in self.core.settings.classes)
         end_us = told_us + limits.kill_after_us(longest_us) - limits.handover_spare_us
+        until = min(told_us + limits.drain_least_us, end_us)
         if self.platform is not None:
             self.core.leave(end_us)  # what is owed then would never be answered
         if self.peers is not None:  # the others hear of the leave, and suspect nobody
@@ -378,6 +380,8 @@
                     log.info("%s hands over; %d connections stand", self.name, len(self.platform.clients))
                     await self._part(self.platform, fronts, end_us, clock() + limits.handover_choosy_us)
                     break
+            if clock() >= until + limits.drain_patience_us:
+                await self._close()
             await asyncio.sleep(DRAIN_LOOK_S)
         else:
             await asyncio.sleep(DRAIN_LOOK_S)  # the invoke front has yet to write the last answers
@@ -389,6 +393,14 @@
         owed = len(self.core.open)
         log.info("%s stops; %s is owed", self.name, f"an answer to {owed} requests" if owed else "nothing")
 
+    async def _close(self) -> None:
+        """Take nothing more, and end each connection as it is answered. Guards against clients that never
+        stop: something would always be owed, and all of them be cut off where they stand in the end."""
+        self.core.close()
+        if self.platform is not None and self.accepting is not None:
+            await self.accepting.finish(self.limits.drain_patience_us / 1e6, self._starved)
+            self.platform.part(0)
+
     def _owes(self) -> bool:
         return bool(self.core.open) or self.platform is not None and self.platform.owes()
 
@@ -398,10 +410,11 @@
         by a process that ends without looking back, it would never be answered."""
         limits = self.limits
         for front in fronts:
-            await front.finish()
+            await front.finish(max(0.0, (end_us - clock()) / 1e6), self._starved)
         while (self._owes() or platform.stand()) and clock() < end_us:
             await asyncio.sleep(DRAIN_LOOK_S)
             platform.part(limits.handover_quiet_us if clock() < choosy_us else 0)
+        platform.end()
         until = clock() + limits.handover_linger_us
         while platform.clients and clock() < until:  # what crossed the end is read away
             await asyncio.sleep(DRAIN_LOOK_S)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -167,3 +167,14 @@
         rig.run(20_000)
     rig.run(1_000_000)
     assert [answer.verdict for answer in rig.answers] == [Verdict.EXPIRED]
+
+
+def test_core_that_is_closed_takes_nothing_more_and_ends_what_is_open() -> None:
+    rig = Rig()
+    rig.submit()
+    rig.core.close()
+    rig.submit()
+    assert [(answer.verdict, answer.retry_after_us) for answer in rig.answers] == [(Verdict.REFUSED, 0)]
+    rig.core.attempt_ended(rig.sent[0], Result.OK, b"one")
+    assert [answer.verdict for answer in rig.answers] == [Verdict.REFUSED, Verdict.SERVED]
+    assert len(rig.sent) == 1
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import resource
+import select
 import signal
 import socket
 import threading
@@ -32,6 +33,42 @@
         super()._accept()
 
 
+class Asking:
+    """A client with a thread of its own that asks anew as it is answered, until it finds a close."""
+
+    def __init__(self, port: int, method: str, ahead: int) -> None:
+        self.client, self.method, self.ahead = Client(port), method, ahead
+        self.open, self.answered, self.faults = set[int](), 0, list[str]()
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.thread.start()
+
+    def _send(self) -> None:
+        with contextlib.suppress(BrokenPipeError), self.client.together():  # a close: that is read next
+            for _ in range(max(1, self.ahead // 4)):
+                check = self.method == "check"
+                self.open.add(self.client.send("check") if check else self.client.call(self.method, b"abc"))
+
+    def _run(self) -> None:
+        try:
+            while len(self.open) < self.ahead:
+                self._send()
+            while (answer := self.client.read()) is not None:
+                if answer.get("id") not in self.open:
+                    self.faults.append(repr(answer))
+                self.open.discard(answer["id"])
+                self.answered += 1
+                if len(self.open) < self.ahead:
+                    self._send()
+        except OSError as fault:
+            self.faults.append(repr(fault))
+
+    def end(self) -> list[str]:
+        """What was wrong, up to a clean close."""
+        self.thread.join(PATIENCE_S)
+        self.client.close()
+        return self.faults + (["it has not ended"] if self.thread.is_alive() else [])
+
+
 def calls(*workers: Worker) -> list[dict[str, Any]]:
     return [line for worker in workers for line in list(worker.lines) if line["kind"] == "CALL"]
 
@@ -168,10 +205,64 @@
             caller.join(PATIENCE_S)
         self.assertEqual(self.program.process.wait(PATIENCE_S), 0)
         self.assertEqual(faults, [])
+        self.assert_answered()
+
+    def assert_answered(self) -> None:
+        """Whatever was taken had its one answer."""
         told = json.loads(self.program.find(r'^(\{"counters".*)'))["counters"]
         answered = sum(count for name, count in told.items() if name.startswith("answers."))
         self.assertEqual((told["requests.taken"], told.get("requests.withdrawn", 0)), (answered, 0))
 
+    def ask_on(self, method: str, ahead: int) -> "Asking":
+        """A client that never stops: it has always about so many open."""
+        asking = Asking(self.port, method, ahead)
+        eventually(lambda: asking.answered > ahead, "answers")
+        return asking
+
+    def held_call(self) -> Client:
+        """One that is open till the process ends, so that at no time before nothing is owed."""
+        client = Client(self.port)
+        client.call("test-submit", b"hang:", limit_ms=15_000)
+        self.addCleanup(client.close)
+        return client
+
+    def test_clients_that_never_stop_are_parted_with_while_another_is_still_owed_its_answer(self) -> None:
+        held = self.held_call()
+        asking = [self.ask_on(*kind) for kind in (("review", 4), ("review", 1), ("test-submit", 2))]
+        self.program.process.send_signal(signal.SIGTERM)
+        self.assertEqual([one.end() for one in asking], [[], [], []])
+        self.assertEqual(select.select([held.socket], [], [], 0)[0], [])
+        self.assertIn("error", held.read() or {})
+        self.assertIsNone(held.read())
+        self.assertEqual(self.program.process.wait(PATIENCE_S), 0)
+        self.assert_answered()
+
+    def test_clients_whose_connections_are_never_read_to_their_end_find_a_clean_close(self) -> None:
+        held = self.held_call()
+        asking = [self.ask_on("check", 2000), self.ask_on("check", 2000)]
+        self.program.process.send_signal(signal.SIGTERM)
+        self.assertEqual([one.end() for one in asking], [[], []])
+        self.assertIn("error", held.read() or {})
+        self.assertEqual(self.program.process.wait(PATIENCE_S), 0)
+        self.assert_answered()
+
+    def test_connections_that_wait_to_be_accepted_do_not_keep_a_process_without_a_descriptor(self) -> None:
+        idle = [Client(self.port) for _ in range(8)]
+        for client in idle:
+            client.send("check")
+            client.read()
+        open_now = len(list(Path(f"/proc/{self.program.process.pid}/fd").iterdir()))
+        resource.prlimit(self.program.process.pid, resource.RLIMIT_NOFILE, (open_now, 256))
+        waiting = [Client(self.port) for _ in range(4)]
+        for client in waiting:
+            client.send("check")
+        began = time.monotonic()
+        self.program.process.send_signal(signal.SIGTERM)
+        self.assertEqual(self.program.process.wait(PATIENCE_S), 0)
+        self.assertLess(time.monotonic() - began, 3.7)  # SIGKILL
+        for client in (*idle, *waiting):
+            client.close()
+
     def test_call_that_outlasts_the_process_is_answered_before_it_is_killed(self) -> None:
         client = Client(self.port)
         id_ = client.call("test-submit", b"hang:", limit_ms=15_000)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -238,6 +238,44 @@
         self.assertEqual((await self.answer(reader))["id"], 1)
         self.assertTrue(await self.closed(reader))
 
+    async def test_connection_ends_with_its_last_answer_and_not_in_the_midst_of_what_was_read(self) -> None:
+        """The process begins to part between two messages of one read, and a call stands behind them."""
+        def ready() -> bool:
+            self.front.part(0)
+            return True
+
+        self.front.ready = ready
+        reader, writer = await self.connect()
+        call = json.loads(message(limit=9_000))
+        checks = [framed(b'{"id":%d,"method":"check"}' % id_) for id_ in range(10, 50)]
+        writer.write(b"".join(checks) + framed(json.dumps(call | {"id": 1, "method": "review"}).encode()))
+        for id_ in range(10, 50):
+            self.assertEqual((await self.answer(reader))["id"], id_)
+        async with asyncio.timeout(20):
+            while not self.rig.core.open:
+                await asyncio.sleep(0.005)
+        self.rig.core.attempt_ended(self.rig.sent[0], Result.OK, b"abc")
+        self.assertEqual((await self.answer(reader))["id"], 1)
+        self.assertTrue(await self.closed(reader))  # without another look at it
+
+    async def test_process_that_ends_closes_behind_the_last_answer_whatever_is_unread(self) -> None:
+        reader, writer = await self.connect()
+        call = json.loads(message(limit=9_000))
+        writer.write(framed(json.dumps(call | {"id": 1, "method": "review"}).encode()) + b"Content-Length: 9")
+        async with asyncio.timeout(20):
+            while not self.rig.core.open:
+                await asyncio.sleep(0.005)
+            self.front.part(0)
+            self.rig.core.attempt_ended(self.rig.sent[0], Result.OK, b"abc")
+            self.assertEqual((await self.answer(reader))["id"], 1)
+            self.assertTrue(self.front.stand())  # a message has begun
+            self.front.end()
+        self.assertTrue(await self.closed(reader))
+        writer.write(b"9\r\n\r\n")  # crosses the end, and is read away
+        async with asyncio.timeout(20):
+            while not self.counters["clients.crossed"]:
+                await asyncio.sleep(0.005)
+
     async def test_clients_that_close_and_never_read_their_answers_are_counted_and_let_go(self) -> None:
         self.front.limits = replace(LIMITS, client_write_bytes=64 << 20, client_last_us=1_000_000)
         deaf = list[socket.socket]()
--- a/tests/test_process_invoke.py
+++ b/tests/test_process_invoke.py
@@ -6,6 +6,7 @@
 import json
 import socket
 import tempfile
+import threading
 import time
 import unittest
 from collections.abc import Iterator
@@ -18,7 +19,7 @@
 Answer = tuple[int, bytes, dict[str, str]]
 
 
-class InvokeTest(unittest.TestCase):
+class InvokeBase(unittest.TestCase):
     def setUp(self) -> None:
         self.workers = [Worker(), Worker()]
         text = (ROOT / "deploy" / "operator.toml").read_text()
@@ -29,11 +30,14 @@
         ):  # fmt: skip
             text = text.replace(old, new)
         file = Path(tempfile.mkdtemp()) / "operator.toml"
-        file.write_text(text)
+        file.write_text(self.changed(text))
         self.program = Program("serve", str(file))
         self.addCleanup(self.program.kill)
         self.port = self.program.port("invoke")
 
+    def changed(self, text: str) -> str:
+        return text
+
     def ask(self, method: str, path: str, body: bytes = b"", **headers: str) -> Answer:
         link = http.client.HTTPConnection("127.0.0.1", self.port, timeout=20)
         told = {"Maplestile-Tenant": "shapla-tutors"} | {k.replace("_", "-"): v for k, v in headers.items()}
@@ -58,6 +62,8 @@
         text = base64.b64encode(body).decode()
         return sum(call["bytes"] == text for worker in self.workers for call in worker.ran)
 
+
+class InvokeTest(InvokeBase):
     def test_a_drain_loses_no_call_of_clients_that_keep_their_connections(self) -> None:
         process = self.program.process
 
@@ -238,3 +244,37 @@
             lambda text: text.replace("name = 5", 'name = "f"').replace("bytes = 16384", "bytes = 2")
         )
         self.assertEqual((told["taken"], self.post("score-bangla", b"abc")[0]), (["invoke"], 413))
+
+
+class InvokeAloneTest(InvokeBase):
+    """Without the platform's front there is no time by which the process is killed."""
+
+    def changed(self, text: str) -> str:
+        before, _, rest = text.partition("[platform]")
+        return before + rest[rest.index("[operation]") :]
+
+    def test_drain_ends_though_callers_never_stop(self) -> None:
+        """New callers come all the time, so that at no time nothing is owed."""
+        statuses, faults = set[int](), list[str]()
+
+        def ask() -> None:
+            while True:
+                try:
+                    statuses.add(self.post("score-bangla", b"hang:", Maplestile_Deadline_Ms="500")[0])
+                except http.client.RemoteDisconnected:
+                    pass  # a clean close, which the call has crossed
+                except ConnectionRefusedError:
+                    return
+                except OSError as fault:
+                    faults.append(repr(fault))
+
+        callers = [threading.Thread(target=ask, daemon=True) for _ in range(6)]
+        for caller in callers:
+            caller.start()
+            time.sleep(0.08)
+        eventually(lambda: statuses, "answers")
+        self.program.process.terminate()
+        for caller in callers:
+            caller.join(20)
+        self.assertEqual((self.program.process.wait(20), faults), (0, []))
+        self.assertLessEqual(statuses, {503, 504})
