Run what is due with a timer that fails, in place of losing it

Seen in reading core.py, `tick`: timers that are due together were taken out of the table first and run one after the other, so that one that fails took the rest along, a call's deadline among them: that call was never answered. The test (a failing timer and a deadline, due in one look of a busy loop) was seen to fail without the mend.

--- a/maplestile/core.py
+++ b/maplestile/core.py
@@ -297,13 +297,17 @@
     def tick(self) -> None:
         """Run what is due; the driver calls this when the alarm goes off."""
         now = self.clock() // self.settings.tick_us
-        due = list[Callable[[], object]]()
+        due = deque[Callable[[], object]]()
         while self.ticks and self.ticks[0] <= now:
             due += self.timers.pop(heapq.heappop(self.ticks))
         self.armed = 0
         self._arm()  # first, since what is due may fail, and then no timer would ever come again
-        for then in due:
-            then()
+        try:
+            while due:
+                due.popleft()()
+        finally:
+            for then in due:  # one that fails keeps back none that is due with it
+                self.at(self.clock(), then)
 
     def catch_up(self) -> None:
         """For drivers in the midst of much input: a deadline must not wait until all of it is handled."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -169,6 +169,21 @@
     assert [answer.verdict for answer in rig.answers] == [Verdict.EXPIRED]
 
 
+def test_timer_that_fails_keeps_back_none_that_is_due_with_it() -> None:
+    rig = Rig()
+
+    def fail() -> None:
+        raise ValueError("a fault of the program")
+
+    rig.core.at(rig.now + 10_000, fail)
+    rig.submit("test-submit", budget_us=1_000_000)
+    rig.now += 1_010_000  # the loop was busy, and all of it is due at once
+    with pytest.raises(ValueError, match="fault"):
+        rig.core.tick()
+    rig.run(10_000)
+    assert [answer.verdict for answer in rig.answers] == [Verdict.EXPIRED]
+
+
 def test_core_that_is_closed_takes_nothing_more_and_ends_what_is_open() -> None:
     rig = Rig()
     rig.submit()
