Keep a drain for the results of deferred calls until their callers can come

Seen: an invoke front that was told to stop ended 0.3 s after a deferred call had ended; its caller, told by Retry-After to come again in 1 s, found nobody, and the result was lost (records live in memory alone). At fault: node.py, `_owes`, which counts open calls only. Now a result that nobody was told keeps the process for 2.5 s after the last call ended, at most until its deadline. On the platform there is no invoke front, and nothing changes.

--- a/maplestile/invoke/store.py
+++ b/maplestile/invoke/store.py
@@ -44,6 +44,13 @@
             self.by_scope[record.scope] = record
         self.at(record.deadline_us, lambda: self._lapse(record))
 
+    def uncollected(self, now_us: int) -> bool:
+        """There is the answer of a deferred invocation that nobody has been told, and that still counts."""
+        return any(
+            record.deferred and record.answer is not None and not record.told and now_us < record.deadline_us
+            for record in self.records.values()
+        )
+
     def finish(self, record: Record, answer: Response) -> None:
         """The first answer stands; it goes to those who wait for it."""
         if record.answer is not None:
--- a/maplestile/limits.py
+++ b/maplestile/limits.py
@@ -90,6 +90,8 @@
     drain_least_us: int = 900_000
     # And then for a moment in which nothing is owed: where clients never stop, nothing more is taken later.
     drain_patience_us: int = 1_000_000
+    # For the callers of deferred calls to come for results: they are told to ask again after 1 s.
+    collect_us: int = 2_500_000
     # One read of a socket. A stream holds up to twice as much, so that a client has under 50 KB read ahead.
     runner_read_bytes: int = 32 * KB
     client_read_bytes: int = 16 * KB
--- a/maplestile/node.py
+++ b/maplestile/node.py
@@ -373,7 +373,10 @@
             self.invoke[0].leaving = True
         if self.handover is not None:
             self.handover.leaving()
-        while clock() < until or (self._owes() and (self.platform is None or clock() < end_us)):
+        busy_us = told_us  # when a call was last open
+        while clock() < until or (self._owes(busy_us) and (self.platform is None or clock() < end_us)):
+            if self.core.open:
+                busy_us = clock()
             if self.handover is not None:
                 self._look(self.handover)
                 if self._handing_over() and self.platform is not None:
@@ -401,8 +404,13 @@
             await self.accepting.finish(self.limits.drain_patience_us / 1e6, self._starved)
             self.platform.part(0)
 
-    def _owes(self) -> bool:
-        return bool(self.core.open) or self.platform is not None and self.platform.owes()
+    def _owes(self, busy_us: int = 0) -> bool:
+        """Also, for a while, results that callers of deferred calls have yet to collect: no other process
+        could tell them, and they come when `Retry-After` has told them to."""
+        if self.core.open or self.platform is not None and self.platform.owes():
+            return True
+        collecting = self.api is not None and clock() < busy_us + self.limits.collect_us
+        return collecting and self.api is not None and self.api.store.uncollected(clock())
 
     async def _part(self, platform: Platform, fronts: list[Listener], end_us: int, choosy_us: int) -> None:
         """Nobody is accepted any more, or by another process; the connections that stand end one by one, once
--- a/tests/test_process_invoke.py
+++ b/tests/test_process_invoke.py
@@ -278,3 +278,27 @@
             caller.join(20)
         self.assertEqual((self.program.process.wait(20), faults), (0, []))
         self.assertLessEqual(statuses, {503, 504})
+
+    def deferred(self) -> str:
+        """A call that is open, and ends 1.2 s after SIGTERM."""
+        for worker in self.workers:
+            worker.pause.clear()
+        code, _, headers = self.post("make-cards", b"abc", Prefer="respond-async")
+        self.assertEqual(code, 202)
+        self.program.process.terminate()
+        time.sleep(1.2)
+        for worker in self.workers:
+            worker.pause.set()
+        return headers["location"]
+
+    def test_deferred_result_of_a_drain_waits_for_a_caller_that_comes_when_it_was_told_to(self) -> None:
+        location = self.deferred()
+        time.sleep(1.0)  # Retry-After
+        self.assertEqual(self.ask("GET", location)[:2], (200, b"cba"))
+        self.assertEqual(self.program.process.wait(20), 0)
+
+    def test_deferred_result_that_nobody_collects_keeps_no_process(self) -> None:
+        self.deferred()
+        began = time.monotonic()
+        self.assertEqual(self.program.process.wait(20), 0)
+        self.assertLess(time.monotonic() - began, 4.5)  # and not until its deadline
