Adopt routers that a killed agent had not put on record, and tell unclean ends of adopted ones

Seen: with roster.json gone, cut or foreign the next agent started another router beside the one left behind, which held the ports: `cannot start`, again and again, while status told of no running router. That is also the state of an agent that is killed between a start and the roster's write. At fault: roster.py, `left`, knew the record alone. Now a process whose standard error is the instance's log is found as well. The test failed in all three cases without the mend.

Seen: an adopted router killed with SIGKILL in its drain, with a call open, was told as `drained`: nobody can tell its exit code, and 0 was taken. At fault: agent.py, `drain`. Now its own last word decides, and the event says `unclean end`.

--- a/maplestile/agent.py
+++ b/maplestile/agent.py
@@ -34,6 +34,7 @@
     from maplestile.steward import Steward
 
 log = logging.getLogger("maplestile.agent")
+LAST_WORD = b"stops; nothing is owed"
 LINE_BYTES, ASK_S, ANSWER_S = 65_536, 60.0, 3.0
 ANSWER_BYTES = 1 << 20  # figures of many instances
 OPERATE = {
@@ -137,6 +138,7 @@
         self.before = spec  # the last `renew`
         self.process: asyncio.subprocess.Process | Adopted | None = None
         self.adopted = False  # the process is one that an earlier agent has started
+        self.parted = False  # it has said that it stops, with nothing owed
         self.state, self.starts, self.since, self.last_exit = "new", 0, time.time(), ""
         self.wanted = asyncio.Event()
         self.wanted.set()
@@ -151,7 +153,7 @@
             await self.wanted.wait()
             began = time.monotonic()
             try:
-                since, self.adopted = self._log_size(), left is not None
+                since, self.adopted, self.parted = self._log_size(), left is not None, False
                 self.process, left = left or await self._begin(), None
             except OSError as fault:
                 self.last_exit = f"cannot start: {fault.strerror}"
@@ -218,6 +220,8 @@
             self.last_exit = "ended; how is not known, for it was adopted"
 
     def _line(self, line: bytes) -> None:
+        # Of one that was adopted there is no exit code to tell a clean end from a kill.
+        self.parted = self.parted or line.rstrip().endswith(LAST_WORD)
         if line.startswith(b'{"') and self._told(line):
             return
         sys.stderr.write(f"[{self.spec.name}] {line.decode(errors='replace')}")
@@ -264,6 +268,10 @@
         if process is None or not self.send(signal.SIGTERM):
             return ""  # there was none
         await process.wait()
+        if self.adopted and self.spec.file is not None:
+            async with self.changed:  # its last lines are read
+                await self.changed.wait_for(lambda: self.process is not process)
+            return "" if self.parted else "it ended without its last word: how is not known"
         code = process.returncode
         # A router ends by itself once nothing is owed; other programs may leave SIGTERM to the system.
         clean = code == 0 or code == -signal.SIGTERM and self.spec.file is None
--- a/maplestile/roster.py
+++ b/maplestile/roster.py
@@ -18,7 +18,7 @@
 VERSION, NAME = 1, "roster.json"
 LOOK_S = 0.05  # between looks at a log
 LOG_MOST, READ_BYTES = 8 << 20, 65_536  # of a log file, which is then begun anew; of one read
-STARTED = 19  # of /proc/PID/stat, from the field after the name: the start in ticks since the boot
+PARENT, STARTED = 1, 19  # of /proc/PID/stat, from the field after the name; the start in ticks since the boot
 
 
 class Lost(Exception):
@@ -76,13 +76,14 @@
         return path
 
     def left(self, name: str) -> Adopted | None:
-        """The process of that name that an earlier agent has left, if it is there."""
-        if name not in self.known:
-            return None
-        try:
-            return Adopted(*self.known[name])
-        except Lost:
-            return None
+        """The process of that name that an earlier agent has left, if it is there. Guards against one that is
+        not on record, since its agent was killed just then, or its disk was full, or the roster is damaged:
+        such a one holds the ports, and another would be started in vain again and again."""
+        on_record = [self.known[name]] if name in self.known else []
+        for pid, started in (*on_record, *_writers(self.log(name))):
+            with contextlib.suppress(Lost):
+                return Adopted(pid, started)
+        return None
 
     def put(self, name: str, pid: int | None) -> None:
         """On record from now on, or gone. What the disk does not take is logged: then it is not adopted."""
@@ -96,15 +97,35 @@
             log.warning("agent: the roster cannot be kept: %s", fault)
 
 
+def _writers(path: Path) -> list[tuple[int, int]]:
+    """The processes whose standard error is that file, the first to start first; without their children."""
+    wanted, found, parents = path.stat(), dict[int, int](), dict[int, int]()
+    for entry in Path("/proc").iterdir():
+        # Another's process, or one that has just ended, is none of them.
+        with contextlib.suppress(OSError, ValueError, IndexError):
+            pid = int(entry.name)
+            if os.path.samestat((entry / "fd" / "2").stat(), wanted) and (started := started_of(pid)):
+                found[pid], parents[pid] = started, int(_stat(pid)[PARENT])
+    return sorted(
+        ((pid, started) for pid, started in found.items() if parents[pid] not in found),
+        key=lambda one: (one[1], one[0]),
+    )
+
+
 def started_of(pid: int) -> int:
     """When it was started, in ticks since the boot; 0 if there is none, or it has ended."""
     try:
-        told = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        told = _stat(pid)
     except OSError:
         return 0
     return 0 if told[0] in ("Z", "X") else int(told[STARTED])
 
 
+def _stat(pid: int) -> list[str]:
+    """The fields of /proc/PID/stat after the name."""
+    return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+
+
 async def lines(path: Path, since: int, ended: asyncio.Event) -> AsyncIterator[bytes]:
     """The lines of a log from that place on as they come, until its writer has ended. A file that has grown
     large is begun anew once it is read; its writer appends."""
--- a/tests/test_process_adopt.py
+++ b/tests/test_process_adopt.py
@@ -1,16 +1,21 @@
 """Agents that are killed, and those that come after them: routers serve on, and are adopted."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import subprocess
 import sys
 import tempfile
 import time
+import unittest
 from pathlib import Path
+from typing import Any
 
+from maplestile.agent import ask
 from maplestile.roster import Adopted, Lost, Roster, lines, started_of
-from tests.standins import PATIENCE_S, Program, eventually
+from tests.fleet import free_ports
+from tests.standins import PATIENCE_S, ROOT, Program, eventually
 from tests.test_process_policy import PolicyFleet, PolicyTest
 from tests.test_process_rollout import Calls, Hung
 
@@ -74,6 +79,22 @@
         eventually(lambda: self.fleet.run(0, "ready", name)[0] == 0, "r0 ready")
         self.assertEqual(len([told for _, told in self.fleet.events_of("back")]), 1)
 
+    def test_an_adopted_router_that_is_killed_in_its_drain_is_not_called_drained(self) -> None:
+        pid = self.fleet.pid("r0")
+        self.kill(0)
+        self.again(0)
+        eventually(lambda: self.fleet.run(0, "ready", "r0", "r1")[0] == 0, "the adopted routers")
+        Hung(self.fleet.invoke[0])
+        eventually(lambda: any(worker.ran for worker in self.fleet.workers), "the call that hangs")
+        self.leader()
+        self.agreed(self.fleet.run(1, "rollout", "start", "--budget", "1", "r0", "r1"))
+        eventually(lambda: [told for _, told in self.fleet.events_of("begin")], "the step's begin")
+        time.sleep(0.3)
+        os.kill(pid, signal.SIGKILL)
+        self.fleet.until_phase(1, "done")
+        ends = [(t["instance"], t["event"]) for _, t in self.fleet.events_of("drained", "unclean end")]
+        self.assertEqual(ends, [("r0", "unclean end"), ("r1", "drained")])
+
     def test_of_two_agents_with_one_folder_the_second_does_not_start(self) -> None:
         second = Program("agent", str(self.fleet.agents[0].file))
         self.addCleanup(second.kill)
@@ -82,6 +103,63 @@
         self.assertEqual(self.fleet.run(0, "ready", "r0")[0], 0)
 
 
+class UnrecordedTest(unittest.TestCase):
+    """An agent is killed after it has started a process, and before that is on record."""
+
+    def setUp(self) -> None:
+        self.folder = Path(tempfile.mkdtemp())
+        ports = free_ports(4)
+        text = (ROOT / "deploy" / "operator.toml").read_text()
+        for n, port in enumerate(ports[:3]):
+            text = text.replace(f"127.0.0.1:808{n}", f"127.0.0.1:{port}")
+        (self.folder / "r.toml").write_text(text)
+        self.listen, self.roster = ports[3], self.folder / "kept" / "roster.json"
+        told = f'[agent]\nlisten = "127.0.0.1:{self.listen}"\nfolder = "{self.folder / "kept"}"\n'
+        (self.folder / "agent.toml").write_text(told + '[[instance]]\nname = "r"\nfile = "r.toml"\n')
+        self.begin()
+
+    def begin(self) -> None:
+        self.agent = Program("agent", str(self.folder / "agent.toml"))
+        self.addCleanup(self.end, self.agent)
+
+    def end(self, program: Program) -> None:
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            program.stop()
+        program.kill()
+
+    def end_left(self, pid: int) -> None:
+        """The router, where no agent has it: by its number, while that is still its own."""
+        with contextlib.suppress(OSError):
+            if str(self.folder) in Path(f"/proc/{pid}/cmdline").read_text():
+                os.kill(pid, signal.SIGKILL)
+
+    def status(self) -> dict[str, Any]:
+        try:
+            told = asyncio.run(ask(("127.0.0.1", self.listen), "status", []))
+        except OSError:
+            return {"state": "", "pid": None}
+        found: dict[str, Any] = told["instances"]["r"]
+        return found
+
+    def test_process_that_is_not_on_record_is_adopted_and_not_started_again(self) -> None:
+        pid = eventually(lambda: self.status()["pid"], "the router")
+        self.addCleanup(self.end_left, pid)
+        for content in (None, b"{", b'{"version": 1, "sum": "", "body": {"r": [1, 2]}}'):
+            with self.subTest(content=content):
+                self.agent.process.kill()
+                self.agent.process.wait()
+                self.roster.unlink()
+                if content is not None:
+                    self.roster.write_bytes(content)
+                self.begin()
+                self.agent.find("(adopted, pid)")
+                status = self.status()
+                self.assertEqual((status["state"], status["pid"]), ("running", pid))
+        asyncio.run(ask(("127.0.0.1", self.listen), "restart", ["r"]))
+        eventually(lambda: self.status()["pid"] not in (None, pid), "another process")
+        self.assertEqual(self.status()["state"], "running")
+
+
 def sleeper() -> subprocess.Popen[bytes]:
     return subprocess.Popen([sys.executable, "-c", "import time; time.sleep(60)"])
 
--- a/tests/test_process_peers.py
+++ b/tests/test_process_peers.py
@@ -5,7 +5,7 @@
 import unittest
 
 from tests.fleet import FOREVER, PERIOD_S, Routers
-from tests.standins import eventually
+from tests.standins import PATIENCE_S, eventually
 
 ROUTERS = 5
 ALL = list(range(ROUTERS))
@@ -48,6 +48,23 @@
         self.assertTrue(all(self.routers.status(n, "r1")[1] >= 1 for n in others), "a higher incarnation")
         eventually(lambda: self.duties(ALL) == ["w1", "w2"], "one owner of each runner again")
 
+    def test_a_leave_that_crosses_a_suspicion_is_a_leave_to_all(self) -> None:
+        """It is suspected while it stands still, and the first that it hears of as it goes on is SIGTERM."""
+        routers, others = self.routers, [0, 1, 3, 4]
+        routers.stop(2)
+        try:
+            eventually(lambda: any(routers.status(n, "r2")[0] == "suspect" for n in others), "a suspicion")
+            routers.programs[2].process.terminate()
+        finally:
+            routers.go_on(2)
+        self.assertEqual(routers.programs[2].process.wait(PATIENCE_S), 0)
+        eventually(lambda: routers.all_see(others, "r2", "left"), "the leave")
+        time.sleep(DETECT_S / 2)  # past what is left of any suspicion
+        self.assertTrue(routers.all_see(others, "r2", "left"))
+        self.assertEqual(routers.deaths(others), [0] * 4)
+        routers.restart(2)
+        routers.until_whole()
+
     def test_a_router_restarted_under_its_address_comes_back(self) -> None:
         self.routers.programs[4].kill()
         eventually(lambda: self.routers.all_see([0, 1, 2, 3], "r4", "dead"), "r4 dead")
