Force a halt over a grant, a holder's death before it begins, and a deadline under polls

Tests alone, of endings beside the platform: each order is forced by an agent that stands still or is killed, or by pollers round the deadline.

--- a/tests/test_process_adopt.py
+++ b/tests/test_process_adopt.py
@@ -14,7 +14,7 @@
 
 from maplestile.agent import ask
 from maplestile.roster import Adopted, Lost, Roster, lines, started_of
-from tests.fleet import free_ports
+from tests.fleet import AGENTS, free_ports
 from tests.standins import PATIENCE_S, ROOT, Program, eventually
 from tests.test_process_policy import PolicyFleet, PolicyTest
 from tests.test_process_rollout import Calls, Hung
@@ -79,6 +79,23 @@
         eventually(lambda: self.fleet.run(0, "ready", name)[0] == 0, "r0 ready")
         self.assertEqual(len([told for _, told in self.fleet.events_of("back")]), 1)
 
+    def test_a_step_granted_to_an_agent_that_dies_before_it_begins_is_taken_by_the_next(self) -> None:
+        number = next(n for n in self.agents() if n != self.leader())
+        name, asked = self.fleet.of(number)[0], (number + 1) % AGENTS
+        pid = self.fleet.pid(name)
+        self.fleet.agents[number].process.send_signal(signal.SIGSTOP)
+        self.agreed(self.fleet.run(asked, "rollout", "start", "--budget", "3", name))
+        eventually(lambda: [one["stage"] for one in self.fleet.status(asked)["leases"]] == ["granted"], "it")
+        self.kill(number)
+        self.assertEqual(self.fleet.events_of("begin"), [])
+        self.again(number)
+        self.fleet.until_phase(asked, "done")
+        self.assertNotEqual(self.fleet.pid(name), pid)
+        eventually(lambda: self.fleet.status(asked)["leases"] == [], "no lease")
+        steps = [told["event"] for _, told in self.fleet.events_of("begin", "drained", "back")]
+        self.assertEqual(steps, ["begin", "drained", "back"])
+        self.assertLessEqual(self.fleet.worst_out(), 3)
+
     def test_an_adopted_router_that_is_killed_in_its_drain_is_not_called_drained(self) -> None:
         pid = self.fleet.pid("r0")
         self.kill(0)
--- a/tests/test_process_invoke.py
+++ b/tests/test_process_invoke.py
@@ -85,6 +85,28 @@
         self.assertGreaterEqual(result.ends["nowhere"], 50)
         self.assertEqual(process.wait(20), 0)
 
+    def test_deferred_call_whose_deadline_ends_while_it_is_polled_has_one_final_answer(self) -> None:
+        code, _, headers = self.post(
+            "keep-result", b"hang:1", Prefer="respond-async", Maplestile_Deadline_Ms="600"
+        )
+        self.assertEqual(code, 202)
+        seen = list[tuple[int, bytes]]()
+
+        def poll() -> None:
+            end = time.monotonic() + 1.5
+            while time.monotonic() < end:
+                seen.append(self.ask("GET", headers["location"])[:2])
+
+        pollers = [threading.Thread(target=poll) for _ in range(4)]
+        for poller in pollers:
+            poller.start()
+        for poller in pollers:
+            poller.join()
+        finals = {answer for answer in seen if answer[0] != 202}
+        self.assertEqual([status for status, _ in finals], [504])  # one, to all of them
+        self.assertEqual(self.ask("DELETE", headers["location"])[0], 409)
+        self.assertEqual((self.final(headers["location"])[0], self.runs(b"hang:1")), (504, 1))
+
     def test_both_fronts_and_both_paths_agree_call_by_call(self) -> None:
         client = Client(self.program.port("platform"))
         self.addCleanup(client.close)
--- a/tests/test_process_rollout.py
+++ b/tests/test_process_rollout.py
@@ -170,6 +170,28 @@
         self.no_call_lost_or_run_twice(calls.result())
         self.assertEqual(self.fleet.run(0, "ready")[0], 0)
 
+    def test_a_halt_that_crosses_a_granted_step_leaves_its_router_alone(self) -> None:
+        """The holder stands still from before the grant till after the halt, and then reads of both."""
+        number = next(n for n in self.agents() if n != self.fleet.leader())
+        name, asked = self.fleet.of(number)[0], (number + 1) % AGENTS
+        pid, holder = self.fleet.pid(name), self.fleet.agents[number].process
+        holder.send_signal(signal.SIGSTOP)
+        try:
+            self.start(asked, "--budget", "3", name)
+            eventually(lambda: [(one["instance"], one["stage"]) for one in self.fleet.status(asked)["leases"]]
+                       == [(name, "granted")], "the grant")  # fmt: skip
+            self.assertEqual(self.fleet.run(asked, "rollout", "halt", "--reason", "a look")[0], 0)
+            self.until_none_out(asked)
+        finally:
+            holder.send_signal(signal.SIGCONT)
+        eventually(lambda: self.fleet.phase(number) == "halted", "the holder to know of the halt")
+        time.sleep(1.0)
+        self.assertEqual((self.told("begin"), self.fleet.pid(name)), ([], pid))
+        self.assertEqual(self.fleet.run(asked, "rollout", "resume")[0], 0)
+        self.fleet.until_phase(asked, "done")
+        self.assertNotEqual(self.fleet.pid(name), pid)
+        self.kept(3)
+
     def test_with_the_leaders_machine_lost_the_others_go_on_and_it_is_made_up_for(self) -> None:
         leader = self.fleet.leader()
         assert leader is not None
