--- a/maplestile/agent.py
+++ b/maplestile/agent.py
@@ -24,6 +24,7 @@
 from maplestile.invoke.operator import read as read_operator
 from maplestile.operation.api import MEMBERS, METRICS, READY, RUNNERS
 from maplestile.operation.client import CallError, call
+from maplestile.refusal import Refusal
 from maplestile.table import Table
 
 if TYPE_CHECKING:  # an agent without a control plane loads nothing of it
@@ -410,6 +411,7 @@
         self.counters: Counter[str] = Counter()
         self.steward: Steward | None = None
         self.herald: Herald | None = None
+        self.no_control = "no [control] in its file"
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -436,7 +438,12 @@
         from maplestile.net.raft import Raft
         from maplestile.steward import Plane, Steward
 
-        plane: Plane = Raft(control, self.counters) if control.listen else Asked(control, ask, self.counters)
+        plane: Plane
+        try:
+            plane = Raft(control, self.counters) if control.listen else Asked(control, ask, self.counters)
+        except Exception as fault:  # whatever the library raises over its folder or address
+            self._without_control(fault)
+            return
         # The instances of this program with an operators' front: what can be asked whether it serves.
         hands = {name: one for name, one in self.instances.items() if one.spec.file or one.spec.operator}
         # Of the others those whose names are runners' ids are the processes of these.
@@ -446,12 +453,18 @@
         telling = asyncio.get_running_loop().create_task(self.herald.run())
         try:
             await self.steward.run()
-        except Exception:
-            log.exception("the control plane has failed; the instances go on without it")
-            raise
+        except Exception as fault:
+            self._without_control(fault)
         finally:
             telling.cancel()
 
+    def _without_control(self, fault: Exception) -> None:
+        """Guards against what it last knew, told to operators for the state of the fleet."""
+        self.steward = self.herald = None
+        self.no_control = f"it does not run: {fault}"
+        trace = None if isinstance(fault, Refusal | OSError) else fault
+        log.error("the control plane does not run; the instances go on without it: %s", fault, exc_info=trace)
+
     def _hang_up(self) -> None:
         """What its instances read anew; the agent's own file is read at its start alone."""
         readers = [i for i in self.instances.values() if i.spec.reloads and i.send(signal.SIGHUP)]
@@ -488,7 +501,7 @@
                 asks = (i.count() if do == "counters" else i.reload() for i in chosen)
                 return {do: dict(zip(names, await asyncio.gather(*asks), strict=True))}
             case "rollout" | "control" | "policy" if self.steward is None:
-                return {"error": "this agent has no control plane: no [control] in its file"}
+                return {"error": f"this agent has no control plane: {self.no_control}"}
             case "rollout" if self.steward is not None:
                 return await self.steward.asked(str(asked.get("what")), asked.get("command") or {})
             case "policy" if self.herald is not None:
--- a/maplestile/net/raft.py
+++ b/maplestile/net/raft.py
@@ -13,6 +13,7 @@
 from pysyncobj import FAIL_REASON, SyncObj, SyncObjConf, replicated  # type: ignore[import-untyped]
 from pysyncobj.node import TCPNode  # type: ignore[import-untyped]
 
+from maplestile.control.folder import check
 from maplestile.control.plan import ControlPlan
 from maplestile.control.state import Command, Control, Reply
 
@@ -69,9 +70,11 @@
     """This process's voter."""
 
     def __init__(self, plan: ControlPlan, counters: Counter[str]) -> None:
+        """Raises Refusal or OSError where its folder is of no use."""
         assert plan.folder is not None
         self.plan, self.counters = plan, counters
         plan.folder.mkdir(parents=True, exist_ok=True)
+        check(plan.folder, plan.name)
         mine = next(voter for voter in plan.voters if voter.name == plan.name)
         others = [node_of(voter.address, voter.reach) for voter in plan.voters if voter.name != plan.name]
         # No command waits here for a leader: asked of a voter that is cut off, it must not take effect once
--- a/tests/test_process_rollout.py
+++ b/tests/test_process_rollout.py
@@ -252,6 +252,35 @@
         self.no_call_lost_or_run_twice(calls.result())
 
 
+class DamagedTest(FleetTest):
+    """A voter whose journal was cut, or overwritten: it takes no part, and says why."""
+
+    def test_damaged_journal_is_refused_with_its_place_and_spoils_nothing_for_the_others(self) -> None:
+        number = next(n for n in self.agents() if n != self.fleet.leader())
+        others = self.agents(number)
+        self.start(others[0], "r0")
+        self.fleet.until_phase(others[0], "done")
+        file = self.fleet.folder / f"a{number}" / "journal"
+        self.assertEqual(self.fleet.agents[number].stop(), 0)
+        whole = file.read_bytes()
+        for content in (whole[:2000], os.urandom(5000), whole[:40] + b"\xff" * 200 + whole[240:]):
+            file.write_bytes(content)
+            self.fleet.agents[number] = self.fleet.start(number)
+            eventually(lambda: self.fleet.run(number, "ready")[0] == 0, "its routers")
+            code, _, err = self.fleet.run(number, "rollout", "status")
+            self.assertEqual(code, 1)
+            self.assertIn(f"it does not run: {file}", err)
+            self.assertEqual(self.fleet.phase(others[1]), "done")
+            self.assertEqual(self.fleet.agents[number].stop(), 0)
+            self.assertEqual(file.read_bytes(), content)
+        file.write_bytes(whole)
+        self.fleet.agents[number] = self.fleet.start(number)
+        self.fleet.until_whole()
+        self.start(number, "r1", "--budget", "2")
+        self.fleet.until_phase(others[0], "done")
+        self.assertEqual(len(self.fleet.status(number)["history"]), 1)
+
+
 class AskerTest(FleetTest):
     """An agent without a vote takes part through those that have one."""
 
