Give the explorer clients that close their side, and a process that ends before its calls are due

New event `away`, cases `away` and `away-safe`, property nothing-for-the-gone: no attempt begins for a client that has closed, and what waits for it is given up.

--- a/maplestile/explore/cases.py
+++ b/maplestile/explore/cases.py
@@ -18,9 +18,9 @@
 # What the world may do beside answering well, by their words.
 ANSWERS, LINKS, LISTS = ("error", "full", "miss"), ("refuse", "reset"), ("drain", "gone", "return")
 WORDS: Mapping[str, int] = {  # and how many numbers follow each
-    "submit": 0, "leave": 1, "up": 1, "refuse": 1, "reset": 1, "part": 1, "drained": 1, "stray": 1, "ok": 2,
-    "error": 2, "full": 2, "miss": 2, "again": 2, "time": 0, "drain": 1, "gone": 1, "return": 1, "stop": 0,
-    "policy": 0,
+    "submit": 0, "leave": 1, "away": 1, "up": 1, "refuse": 1, "reset": 1, "part": 1, "drained": 1, "stray": 1,
+    "ok": 2, "error": 2, "full": 2, "miss": 2, "again": 2, "time": 0, "drain": 1, "gone": 1, "return": 1,
+    "stop": 0, "policy": 0,
 }  # fmt: skip
 
 
@@ -72,6 +72,14 @@
             "drain-safe", "the same under a safe call, with second copies", ("safe",), (*LISTS, "reset"), 3,
             quiet=5,
         ),
+        Case(
+            "away", "a client closes its side, wherever its call is", ("unsafe",),
+            ("away", "full", "miss", "refuse", "reset", "part"), 3,
+        ),
+        Case(
+            "away-safe", "the same under a safe call, with second copies", ("safe",),
+            ("away", "error", "reset"), 3, quiet=5,
+        ),
         Case(
             "two", "two calls of one function at one worker", ("unsafe", "safe"), ("full", "reset", "leave"),
             2, workers=1, quiet=5,
@@ -91,7 +99,10 @@
     )
 }  # fmt: skip
 # Those that CI runs within a minute, and to which depth.
-SMALL = {"unsafe": 8, "keyed-cell": 8, "late": 9, "parts": 9, "drain": 6, "two": 8, "stop": 7, "policy": 6}
+SMALL = {
+    "unsafe": 8, "keyed-cell": 8, "late": 9, "parts": 9, "drain": 6, "away": 8, "away-safe": 8, "two": 8,
+    "stop": 7, "policy": 6,
+}  # fmt: skip
 
 
 @dataclass(slots=True, frozen=True)
--- a/maplestile/explore/fingerprint.py
+++ b/maplestile/explore/fingerprint.py
@@ -45,7 +45,8 @@
         told = (
             self.fields(world.core, Core), self.fields(module, Dispatcher), self.fields(world.pool, Pool),
             [self.link(link) for link in world.links if link.open],
-            [(one.class_name, self.of(one.due_us), len(one.outcomes), one.left) for one in world.clients],
+            [(one.class_name, self.of(one.due_us), len(one.outcomes), one.left, one.away)
+             for one in world.clients],
             [(self.of(name), self.of(us)) for name, us in sorted(world.told_us.items())],
             [(self.of(name), state.value) for name, state in sorted(world.state.items())],
             [(line.told["call"], self.of(line.link.worker), line.never_ran, self.of(line.at_us))
--- a/maplestile/explore/properties.py
+++ b/maplestile/explore/properties.py
@@ -13,6 +13,7 @@
     "unsafe-once": "an unsafe call is never out again where it may have run",
     "keyed-in-scope": "a keyed call goes again only where its repeats are dropped, and only while they are",
     "nothing-after-drain": "nothing new is written to a worker after its drain or end was told",
+    "nothing-for-the-gone": "nothing begins for a client that has closed, and what waits for it is given up",
     "attempt-limit": "no call has more attempts than the settings allow",
     "one-policy": "all attempts of a call are decided under the policy that it came under",
     "harmless-refusal": "a call is refused only where trying again is harmless",
@@ -49,6 +50,8 @@
     fresh = told["kind"] in ("CALL", "LOAD", "STATS", "UNLOAD")
     if fresh and link.worker in world.told_us:
         world.broken("nothing-after-drain", f"{told['kind']} to {link.worker}")
+    if told["kind"] == "CALL" and world.client_of(told["call"]).away:
+        world.broken("nothing-for-the-gone", f"an attempt at {link.worker}")
 
 
 def on_arrival(world: World, line: Line) -> None:
@@ -83,6 +86,9 @@
         world.broken("one-policy", f"{world.counters['policy.mixed_calls']} attempts under another")
     for client in world.clients:
         owed = world.core.open.get(client.number)
+        out = any(call == client.number for call, _ in world.core.flights)
+        if client.away and owed is not None and not out:
+            world.broken("nothing-for-the-gone", f"{client.class_name}: waits on")
         if owed is not None and owed.attempts > worlds.attempts_of(client.epoch):
             world.broken("attempt-limit", f"{client.class_name}: {owed.attempts} attempts")
     if world.counters["states.forbidden"]:
--- a/maplestile/explore/sockets.py
+++ b/maplestile/explore/sockets.py
@@ -6,7 +6,7 @@
     time          a step of real time
 
 A line that the system takes in part cannot be had on demand, nor can a connection be kept from coming up once
-it is accepted: an `up` waits until it is there, and a `part` is told as left out."""
+it is accepted: an `up` waits until it is there, and a `part` or an `away` is told as left out."""
 
 import asyncio
 import base64
--- a/maplestile/explore/world.py
+++ b/maplestile/explore/world.py
@@ -2,6 +2,7 @@
 
     submit          the next call of the case comes
     leave CALL      its client waits no longer
+    away CALL       its client has closed its side: nothing may begin, what is out may end and be answered
     up LINK         a connection that was dialled is up; `refuse LINK`: it is refused
     ok LINK LINE    the worker answers that line of the connection well; `error`, `full`, `miss` likewise
     again LINK LINE the worker answers a line a second time; `stray LINK`: it answers what nobody asked
@@ -32,7 +33,8 @@
 from maplestile.wire import runner as wire
 
 START, MS = 1_000_000_000_000, 1000
-STEP_US, DEADLINE_US, LEAVE_US, ORDER_US = 100 * MS, 400 * MS, 500 * MS, 300 * MS
+# The end of a process comes before the deadlines of the calls that it has in hand.
+STEP_US, DEADLINE_US, LEAVE_US, ORDER_US = 100 * MS, 400 * MS, 300 * MS, 300 * MS
 REST_STEPS = 12  # of silence after which nothing may be left: longer than any call, load or probe
 CLASSES = {
     "safe": api.CallClass("safe", 200 * MS, DEADLINE_US, Effect.SAFE, Scope.ALL, 0),
@@ -148,6 +150,7 @@
     epoch: int  # of the policy that it came under
     outcomes: list[tuple[int, Outcome]] = field(default_factory=list)  # when, and which
     left: bool = False
+    away: bool = False
 
     def owed(self) -> bool:
         return not self.left and not self.outcomes
@@ -208,7 +211,9 @@
         ended = self.stopped and self.now >= self.core.leave_us  # there is no process any more
         if len(self.clients) < len(self.case.classes) and not ended:
             found.append(("submit",))
-        found += [("leave", n) for n, one in enumerate(self.clients) if one.owed() and "leave" in may]
+        for n, one in enumerate(self.clients):
+            found += [("leave", n)] if one.owed() and "leave" in may else []
+            found += [("away", n)] if one.owed() and not one.away and "away" in may else []
         for link in self.links:
             if link.open:
                 found += self._at_link(link, may)
@@ -268,10 +273,14 @@
             case "leave":
                 self.clients[numbers[0]].left = True
                 self.core.withdraw(self.clients[numbers[0]].number)
+            case "away":
+                self.clients[numbers[0]].away = True
+                self.core.client_gone(self.clients[numbers[0]].number)
             case "drain" | "gone" | "return":
                 self._tell(f"w{numbers[0]}", word)
             case "stop":
-                self.stopped, self.core.leave_us = True, self.now + LEAVE_US
+                self.stopped = True
+                self.core.leave(self.now + LEAVE_US)
             case "policy":
                 self.epoch += 1
                 self.core.adopt(settings(self.epoch), self.core.limits)
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -85,13 +85,17 @@
             self.open_bytes += owed.request.bytes()
 
 
-class StaysOn(Core):
-    def submit(self, *asked: Any) -> int:
-        leave_us, self.leave_us = self.leave_us, 0
-        try:
-            return super().submit(*asked)
-        finally:
-            self.leave_us = leave_us
+class EndsNothing(Core):
+    def _end_all(self) -> None: ...  # calls from before the stop keep their whole time
+
+
+class WritesForTheGone(Yard):
+    def withhold(self, attempt: AttemptId) -> bool:
+        return False
+
+
+class TriesForTheGone(Dispatcher):
+    def abandon(self, call: Call) -> None: ...
 
 
 class CallsOffLater(Yard):
@@ -122,7 +126,9 @@
     ("harmless-refusal", "unsafe", Parts(module=RefusesAnything)),
     ("counts-return", "late", Parts(module=LeavesCounts)),
     ("nothing-kept", "late", Parts(core=KeepsBytes)),
-    ("drain-ends", "stop", Parts(core=StaysOn)),
+    ("drain-ends", "stop", Parts(core=EndsNothing)),
+    ("nothing-for-the-gone", "away", Parts(pool=WritesForTheGone)),
+    ("nothing-for-the-gone", "away-safe", Parts(module=TriesForTheGone)),
     ("no-forbidden-move", "late", Parts(pool=CallsOffLater)),
     ("no-crash", "late", Parts(pool=KnowsEverybody)),
 )
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -156,8 +156,8 @@
 
     @initialize(classes=strategies.lists(strategies.sampled_from(CLASSES), min_size=3, max_size=3))
     def begin(self, classes: list[str]) -> None:
-        may = ("error", "full", "miss", "refuse", "reset", "part", "again", "stray", "leave", "drain", "gone",
-               "return", "stop")  # fmt: skip
+        may = ("error", "full", "miss", "refuse", "reset", "part", "again", "stray", "leave", "away", "drain",
+               "gone", "return", "stop")  # fmt: skip
         case = Case("random", "", tuple(classes), may, 12, 3, ("a", "a", "b"), (1, 2, 2), 40)
         self.world = World(case, properties)
 
