Let no half request hold up the end of an invoke front, and begin nothing behind it

Seen: with half a request on one connection a front that was told to stop ended after 10 s, the time for a whole request; its agent kills after 8 s, with whatever else stands. And a request whose other half came behind the close of its connection was handled all the same, by a process that ends. At fault: net/http.py, `end`, which waits for every connection that does not rest, and `Exchange.run`, which does not know that its side has ended.

--- a/maplestile/net/http.py
+++ b/maplestile/net/http.py
@@ -14,6 +14,7 @@
 log = logging.getLogger(__name__)
 READ_BYTES, HEAD_BYTES, AHEAD_BYTES, QUEUE = 16_384, 16_384, 262_144, 512
 WRITE_S = 10.0
+HALF_S = 0.5  # at the end of a drain, for a request that was begun to come whole
 QUIET_S, LOOK_S = 0.1, 0.01  # at the end of a drain: for what crosses it, and between two looks
 
 
@@ -74,10 +75,14 @@
         Guards calls that come just then: closed at once, their connections lost them without an answer."""
         await listener.finish(QUIET_S)
         await asyncio.sleep(QUIET_S)  # those just accepted have yet to be read
-        until_s = asyncio.get_running_loop().time() + WRITE_S
-        while self.connections > len(self.idle) and asyncio.get_running_loop().time() < until_s:
+        loop, began_s = asyncio.get_running_loop(), asyncio.get_running_loop().time()
+        while (waited_s := loop.time() - began_s) < WRITE_S and self.connections > len(self.idle):
+            # Guards the process against half a request: nothing is owed for one that does not come whole.
+            if waited_s > HALF_S and self.connections == len(self.idle) + len(self.begun):
+                break
             await asyncio.sleep(LOOK_S)
-        for exchange in list(self.idle):
+        for exchange in (*self.idle, *self.begun):
+            exchange.parted = True
             exchange.writer.write_eof()
         until_s = asyncio.get_running_loop().time() + QUIET_S
         while self.connections and asyncio.get_running_loop().time() < until_s:
@@ -104,6 +109,7 @@
         self.http, self.reader, self.writer = http, reader, writer
         self.wire = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_BYTES)
         self.ahead = 0
+        self.parted = False  # this side of the connection has ended
         self.due_s: float | None = None  # by when the request that was begun is to be whole
 
     async def run(self) -> None:
@@ -126,7 +132,7 @@
                     status = fault.error_status_hint
                     await self._refuse(problem(status, str(fault)))
                 return
-            if request is None:
+            if request is None or self.parted:  # what crossed the end is called again elsewhere
                 return
             answer = await self._answer(request)
             await self._write(answer, self.http.bounds.one_call or self.http.leaving)
@@ -211,6 +217,8 @@
 
     async def _refuse(self, response: Response) -> None:
         """Answer and close; what still comes is read away for a moment."""
+        if self.parted:
+            return
         await self._write(response, True)
         linger_s = self.http.bounds.linger_us / 1e6
         await reads.away(self.writer, lambda: self.reader.read(READ_BYTES), linger_s)
--- a/tests/test_process_invoke.py
+++ b/tests/test_process_invoke.py
@@ -301,6 +301,17 @@
         self.assertEqual((self.program.process.wait(20), faults), (0, []))
         self.assertLessEqual(statuses, {503, 504})
 
+    def test_half_a_request_keeps_no_process_and_finds_a_clean_close(self) -> None:
+        half = socket.create_connection(("127.0.0.1", self.port), timeout=20)
+        half.sendall(b"POST /v1/functions/score-bangla/invocations HTTP/1.1\r\nContent-Le")
+        self.addCleanup(half.close)
+        self.assertEqual(self.post("score-bangla", b"abc")[0], 200)  # the half one has been read
+        began = time.monotonic()
+        self.program.process.terminate()
+        self.assertEqual(half.recv(100), b"")
+        self.assertEqual(self.program.process.wait(20), 0)
+        self.assertLess(time.monotonic() - began, 4.0)  # and not the 10 s that a request may take
+
     def deferred(self) -> str:
         """A call that is open, and ends 1.2 s after SIGTERM."""
         for worker in self.workers:
