Tell workers what a client has left, begin nothing unread, and close no connection unread

Cause: a call's line was made when it was decided, and told the time of then, up to the connect timeout later (a held connection: 5,879 ms told where 5,107 were left). After a loop that was away an attempt could begin before a close or cancel that had come first was read. At the cap a newcomer was cut off unread, a request in pieces made room after 0.2 s, and of clients with unread answers the one with the most went, also one that reads. Change: the line is made as it is written; a line that a runner does not take for 0.1 s ends its connection; after 50 ms away each attempt first looks at its client; newcomers over the cap get a refusal; what is unread makes no room, clients that come back stay longest; the client that has read nothing longest goes. Changed tests: the one of deaf clients now waits a second before they make room, and sees the newcomer before it refused; the one of a broken connection lifts the stall limit, since its 30 MB line is to break and not to stall.

--- a/maplestile/core.py
+++ b/maplestile/core.py
@@ -60,6 +60,19 @@
     ran: bool = False  # an attempt may have run
 
 
+class Presence(Enum):
+    """What is known, just now, of a client that has an open request."""
+
+    WAITING = "waiting"
+    UNREAD = "unread"  # its connection holds bytes that are not read yet: one may cancel the request
+    GONE = "gone"  # it has closed its connection
+
+
+def always_waiting() -> Presence:
+    """For callers without a connection of their own."""
+    return Presence.WAITING
+
+
 class Pool(Protocol):
     """What the core needs of the workers' side; ends come back through the core's `*_ended` methods."""
 
@@ -90,6 +103,7 @@
     request: Request
     due_us: int
     answer: Callable[[Outcome], None]
+    presence: Callable[[], Presence]
     state: Call = Call.OWED
     attempts: int = 0
     ran: bool = False
@@ -158,8 +172,12 @@
 
     # What the fronts call.
 
-    def submit(self, request: Request, received_us: int, answer: Callable[[Outcome], None]) -> int:
-        """Take a request whose last byte came at `received_us`; its answer may come before this returns."""
+    def submit(
+        self, request: Request, received_us: int, answer: Callable[[Outcome], None],
+        presence: Callable[[], Presence] = always_waiting,
+    ) -> int:  # fmt: skip
+        """Take a request whose last byte came at `received_us`; its answer may come before this returns.
+        `presence` looks at the client's connection and is asked before an attempt that may be late."""
         self.number += 1
         call, now = self.number, self.clock()
         self.counters["requests.taken"] += 1
@@ -168,7 +186,7 @@
         leaving = 0 < self.leave_us < due_us
         if leaving:
             due_us = self.leave_us
-        self.open[call] = Open(request, due_us, answer, epoch=self.settings.epoch)
+        self.open[call] = Open(request, due_us, answer, presence, epoch=self.settings.epoch)
         self.open_bytes += request.bytes()
         full = len(self.open) > self.limits.open_requests or self.open_bytes > self.limits.open_bytes
         # Guards memory against a flood, and the requests in hand against a loop that lags ever more.
@@ -208,6 +226,11 @@
             self.give(api.ClientGone(call))
             self._withhold(call, owed.attempts)
 
+    def presence(self, attempt: AttemptId) -> Presence:
+        """Whether the client of an attempt that is about to begin still waits: a look at its connection."""
+        owed = self.open.get(attempt[0])
+        return Presence.GONE if owed is None else owed.presence()
+
     def leave(self, by_us: int) -> None:
         """The process ends then: all that it has taken, and still takes, has its answer by that time."""
         self.leave_us = by_us
--- a/maplestile/limits.py
+++ b/maplestile/limits.py
@@ -20,12 +20,15 @@
     # For a whole message, from the connect or from its first byte: half of what a client waits for a word.
     client_message_us: int = 1_500_000
     client_grace_us: int = 200_000  # for a new connection to ask before it may have to make room
+    client_unfinished_us: int = 750_000  # for the rest of a message, before it may have to make room
+    client_surplus: int = 16  # connections over the cap, whose first request is refused
     client_faults: int = 64  # messages that cannot be used, on one connection: its client will not learn
     client_turn: int = 16  # messages of one connection before the others have their turn: 2 to 3 ms
     # Unread answers of one client: 4 s of one that reads 1 MB a second, about as long as it waits for any.
     client_write_bytes: int = 4 << 20
     all_write_bytes: int = 16 << 20  # and of all clients together
     client_last_us: int = 4_000_000  # for a client that closed, or was closed on, to read its last answers
+    client_unread_us: int = 1_000_000  # of these, before it may have to make room: a reader is done by then
     client_linger_us: int = 100_000  # to read away what comes behind a message that cannot be followed
     accept_burst: int = 16  # connections accepted in one go; each takes a descriptor before it is looked at
     accept_queue: int = 1024  # connections that wait in the system to be accepted
@@ -60,6 +63,8 @@
     runner_line_us: int = 250_000
     # Without a sign for so long, while a request was given up there, a connection may lead nowhere.
     runner_silent_us: int = 500_000
+    # For a runner's connection to take the rest of a line: the deadline in it may be so old, and no more.
+    runner_stall_us: int = 100_000
     connect_timeout_us: int = 250_000
     runner_idle_us: int = 12_000_000
     order_timeout_us: int = 10_000_000
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from maplestile.core import Core, Outcome, Verdict
+from maplestile.core import Core, Outcome, Presence, Verdict
 from maplestile.interface import Settings
 from maplestile.limits import Limits
 from maplestile.net import reads
@@ -29,12 +29,15 @@
     writer: asyncio.StreamWriter
     framer: wire.Framer
     since_us: int  # of the connect, or of the first byte of the message that is not whole yet
-    greeted: bool = False  # a whole message has come
+    asked: int = 0  # how often whole messages came: reads that brought some
     faults: int = 0
     calls: dict[int, int] = field(default_factory=dict)  # the ids open on this connection, to the core's
     tags: dict[str, int] = field(default_factory=dict)
     idle: asyncio.Event = field(default_factory=asyncio.Event)
     stirred_us: int = 0  # when it last asked or was answered
+    written: int = 0  # bytes of answers
+    taken: int = 0  # of which the system had so many at the last look
+    unread_us: int = 0  # since when it has taken none of those that wait
     parted: bool = False  # this side of the connection has ended
     taking: bool = False  # of what was read not all is handled yet
 
@@ -45,6 +48,24 @@
             fcntl.ioctl(self.writer.get_extra_info("socket").fileno(), termios.FIONREAD, waiting)
         return self.reader.held + waiting[0]
 
+    def waiting(self, now_us: int) -> int:
+        """The bytes of its answers that the system has not taken; notes whether it has taken any."""
+        waiting = self.writer.transport.get_write_buffer_size()
+        if self.written - waiting > self.taken or not waiting:
+            self.taken, self.unread_us = self.written - waiting, now_us
+        return waiting
+
+    def begun(self) -> bool:
+        """Whether a request has come whole or in part, of which nothing is open yet."""
+        return self.taking or bool(self.framer.rest) or self.unread() > 0
+
+    def presence(self) -> Presence:
+        """Guards attempts after a loop that was away: a close or a cancel may be there, and not be read."""
+        self.look()
+        if self.reader.ended:
+            return Presence.GONE
+        return Presence.UNREAD if self.taking or self.unread() else Presence.WAITING
+
     def look(self) -> None:
         """Guards against a close that stands behind much that is yet to be read, and is found late there."""
         with contextlib.suppress(OSError):  # where the system does not tell
@@ -63,6 +84,7 @@
         self.known = wire.Known.of(core.settings)
         self.clients: dict[Client, None] = {}  # the one that was silent longest first
         self.closing: dict[Client, None] = {}  # they have yet to read answers; the first to close first
+        self.surplus = 0  # connections over the cap, of which the first request is refused
         self.parting = False  # each connection ends as soon as nothing is open or unread on it
         self.ending = False  # and whatever is unread
 
@@ -106,17 +128,14 @@
     def _part(self, client: Client, quiet_us: int = 0) -> None:
         if client.calls or client.parted or client.writer.is_closing():
             return
-        begun = client.taking or client.framer.rest or client.unread()
-        if self.ending or not (begun or client.stirred_us > self.core.clock() - quiet_us):
+        if self.ending or not (client.begun() or client.stirred_us > self.core.clock() - quiet_us):
             client.parted = True
             client.writer.write_eof()
 
     async def _serve(self, reader: reads.Inbox, writer: asyncio.StreamWriter) -> None:
         held = len(self.clients) + len(self.closing)
         if held >= self.limits.client_connections and not self.make_room():
-            self.counters["clients.turned_away"] += 1
-            log.warning("client: turned away, %d connections are owed an answer", len(self.clients))
-            writer.transport.abort()
+            await self._turn_away(reader, writer)
             return
         reads.bound(writer.transport, self.limits.client_read_bytes)
         now = self.core.clock()
@@ -148,6 +167,53 @@
             if writer.transport.get_write_buffer_size():
                 await self._let_read(client)
 
+    async def _turn_away(self, reader: reads.Inbox, writer: asyncio.StreamWriter) -> None:
+        """A newcomer while each connection at the cap is owed an answer: its first requests are refused, and
+        it ends. Guards the descriptors, and a request that was read from a close without an answer."""
+        self.counters["clients.turned_away"] += 1
+        log.warning("client: turned away, %d connections are owed an answer", len(self.clients))
+        if self.surplus >= self.limits.client_surplus:
+            writer.transport.abort()  # of which nothing has been read
+            return
+        self.surplus += 1
+        try:
+            await self._refuse_first(reader, writer)
+        except (wire.FramingError, OSError, TimeoutError) as fault:
+            log.debug("client: turned away: %r", fault)
+        finally:
+            self.surplus -= 1
+            writer.close()
+
+    async def _refuse_first(self, reader: reads.Inbox, writer: asyncio.StreamWriter) -> None:
+        most, framer = self.limits.client_read_bytes, wire.Framer(self.limits)
+        reads.bound(writer.transport, most)
+        end_s = asyncio.get_running_loop().time() + self.limits.client_grace_us / 1e6
+        refused = 0
+        while not refused or framer.rest:
+            left_s = end_s - asyncio.get_running_loop().time()
+            data = await reads.within(left_s, lambda: reader.take(most))
+            if not data:
+                return
+            for view in framer.feed(data):
+                refused += 1
+                writer.write(self._refusal(view))
+        await reads.away(writer, lambda: reader.take(most), self.limits.client_linger_us / 1e6)
+
+    def _refusal(self, view: memoryview) -> bytes:
+        later = Outcome(Verdict.REFUSED, retry_after_us=self.limits.max_retry_after_us)
+        try:
+            message = wire.parse(view, self.limits, self.known)
+        except wire.RpcError as fault:
+            return wire.error(fault.id, fault.code, str(fault))
+        match message:
+            case wire.Call():
+                self.counters["clients.refused_at_cap"] += 1
+                return wire.answer(message.id, later)
+            case wire.Check():
+                return wire.result(message.id, {"ready": self.ready()})
+            case wire.Interrupt():
+                return b""
+
     async def _let_read(self, client: Client) -> None:
         """Guards the descriptors, and the end of the process, against one that never reads its answers."""
         self.closing[client] = None
@@ -185,7 +251,7 @@
                 client.look()
             client.taking = True
             for whole, view in enumerate(client.framer.feed(data), 1):
-                client.greeted = True
+                client.asked += whole == 1
                 self._message(client, view, received_us)
                 self.core.catch_up()
                 if whole % self.limits.client_turn == 0:  # a flood must not keep the others waiting
@@ -202,7 +268,7 @@
 
     async def _read(self, client: Client) -> bytes:
         most = self.limits.client_read_bytes
-        if client.greeted and not client.framer.rest:  # it may stay for good, and ask again or not
+        if client.asked and not client.framer.rest:  # it may stay for good, and ask again or not
             data = await client.reader.take(most)
             client.since_us = self.core.clock()
             return data
@@ -234,26 +300,55 @@
             self._part(client)
 
     def make_room(self) -> bool:
-        """At the cap one that is owed nothing makes room: one that this side has ended, or else the first
-        that has had its time to ask and never did, or else the one silent longest of those that asked, or
-        else the first of the newcomers."""
-        since_us = self.core.clock() - self.limits.client_grace_us
-        idle = [client for client in self.clients if not client.calls]
-        silent = (client for client in idle if not client.greeted and client.since_us < since_us)
-        ended = next((client for client in idle if client.parted), None)
-        asked = (client for client in idle if client.greeted)
-        oldest = ended or next(silent, None) or next(asked, None) or next(iter(idle), None)
-        if oldest is None and self.closing:
-            oldest = next(iter(self.closing))  # it has its answers, and does not read them
-            del self.closing[oldest]
-            oldest.writer.transport.abort()
-        elif oldest is None:
-            return False
+        """Close a connection, at the cap, that is owed nothing and has nothing unread. Guards requests that
+        were read, or are on their way in pieces, from making room for others."""
+        idle = self._dispensable()
+        leaver = next((client for client in idle if not client.begun()), None)
+        if leaver is None:
+            return self._end_unread() or self._end_unfinished(idle)
         self.counters["clients.made_room"] += 1
-        self.clients.pop(oldest, None)
-        oldest.writer.close()
+        self.clients.pop(leaver, None)
+        leaver.writer.close()
         return True
 
+    def _dispensable(self) -> list[Client]:
+        """Those without an open request, the first to go first: those that this side has ended; those that
+        had their time to ask and never did; those that asked once; those that come back (a segmented LRU, so
+        that a crowd of strangers does not put out the clients in use); newcomers. In each the one silent
+        longest goes first."""
+        since_us = self.core.clock() - self.limits.client_grace_us
+
+        def rank(client: Client) -> int:
+            if client.parted:
+                return 0
+            if client.asked:
+                return 2 if client.asked == 1 else 3
+            return 1 if client.since_us < since_us else 4
+
+        return sorted((client for client in self.clients if not client.calls), key=rank)
+
+    def _end_unread(self) -> bool:
+        """Drop a connection that was closed, and whose client has not read its last answers for long."""
+        now = self.core.clock()
+        for client in self.closing:
+            if client.waiting(now) and now - client.unread_us > self.limits.client_unread_us:
+                self.counters["clients.made_room"] += 1
+                del self.closing[client]
+                client.writer.transport.abort()
+                return True
+        return False
+
+    def _end_unfinished(self, idle: list[Client]) -> bool:
+        """Close a connection with a part of a request, of which the rest has not come for long."""
+        since_us = self.core.clock() - self.limits.client_unfinished_us
+        for client in idle:
+            if client.framer.rest and client.since_us < since_us and not (client.taking or client.unread()):
+                self.counters["clients.made_room_unfinished"] += 1
+                self.clients.pop(client, None)
+                client.writer.close()
+                return True
+        return False
+
     def _message(self, client: Client, view: memoryview, received_us: int) -> None:
         try:
             message = wire.parse(view, self.limits, self.known)
@@ -293,7 +388,7 @@
                 client.idle.set()
             self._stirred(client)
 
-        number = self.core.submit(call.request, received_us, answer)
+        number = self.core.submit(call.request, received_us, answer, client.presence)
         if call.id in client.calls:
             client.calls[call.id] = number
 
@@ -308,20 +403,24 @@
             client.idle.set()
 
     def _unread(self) -> int:
-        return sum(client.writer.transport.get_write_buffer_size() for client in self.clients)
+        now = self.core.clock()
+        return sum(client.waiting(now) for client in self.clients)
 
     def _write(self, client: Client, data: bytes) -> None:
         transport = client.writer.transport
         if transport.is_closing() or client.parted:  # a time that ends there tells nobody of it
             client.idle.set()
             return
+        client.waiting(now := self.core.clock())
         client.writer.write(data)
-        unread, limits = transport.get_write_buffer_size(), self.limits
+        client.written += len(data)
+        unread, limits = client.waiting(now), self.limits
         if unread > limits.client_write_bytes:
             self._too_slow(client)
         elif unread and self._unread() > limits.all_write_bytes:
-            # Clients that read nothing would fill the memory; of many the one goes that fills it most.
-            self._too_slow(max(self.clients, key=lambda c: c.writer.transport.get_write_buffer_size()))
+            # Clients that read nothing would fill the memory: the one goes that has read nothing longest, and
+            # none that reads, whatever the others leave unread.
+            self._too_slow(min((c for c in self.clients if c.waiting(now)), key=lambda c: c.unread_us))
 
     def _too_slow(self, client: Client) -> None:
         self.counters["clients.too_slow"] += 1
--- a/maplestile/net/reads.py
+++ b/maplestile/net/reads.py
@@ -33,8 +33,8 @@
 async def away(writer: asyncio.StreamWriter, read: Callable[[], Awaitable[bytes]], seconds: float) -> None:
     """End this side, and read away for a moment what still comes: the system answers bytes that nobody reads
     with a reset, which would take the last answers along."""
-    writer.write_eof()
-    with contextlib.suppress(TimeoutError):
+    with contextlib.suppress(TimeoutError, OSError):  # the peer may reset it meanwhile: it wants no more
+        writer.write_eof()
         async with asyncio.timeout(seconds):
             while await read():
                 pass
--- a/maplestile/net/runners.py
+++ b/maplestile/net/runners.py
@@ -15,6 +15,7 @@
 from maplestile.wire import runner as wire
 
 log = logging.getLogger(__name__)
+FLUSH_AGAIN_S = 0.001  # until a line is looked at again that waits for its client's input to be read
 
 
 class Stream:
@@ -38,10 +39,14 @@
 
     async def _drain(self) -> None:
         try:
-            await self.writer.drain()
+            async with asyncio.timeout(self.pool.limits.runner_stall_us / 1e6):
+                await self.writer.drain()
+        except TimeoutError:
+            self.pool.stalled(self.connection)
         except OSError:
             return  # the reader sees the same end and closes
-        self.pool.drained(self.connection)
+        else:
+            self.pool.drained(self.connection)
 
 
 class Runners(Pool):
@@ -60,6 +65,9 @@
         if task is not None and task is not asyncio.current_task():
             task.cancel()
 
+    def flush_soon(self, connection: Connection) -> None:
+        asyncio.get_running_loop().call_later(FLUSH_AGAIN_S, self.settled, connection)
+
     async def _serve(self, connection: Connection) -> None:
         end = Result.CONNECT_FAILED
         try:
--- a/maplestile/net/stamps.py
+++ b/maplestile/net/stamps.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 WAITED_S = 0.00005  # a select that took longer than this did wait, so what it found had just come
+AWAY_S = 0.05  # so long between two selects: what has come meanwhile is not read yet
 STOOD_S = 0.1  # so long between two selects, or after the end of one: the process was busy, or stood still
 
 
@@ -18,6 +19,11 @@
         self.rested_us = 0  # when it last waited: then nothing that had come was left to be read
         self.stood_us = 0  # since when it may have stood still, until it has caught up
         self.busiest_s, self.returned_s = 0.0, time.perf_counter()
+        self.away = False  # it has not rested since it was away from its selects for long
+
+    def input_is_old(self) -> bool:
+        """Bytes may have come over `AWAY_S` ago that have not been read yet."""
+        return self.away or time.perf_counter() - self.returned_s > AWAY_S
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         began = time.perf_counter()
@@ -31,6 +37,11 @@
             found = super().select(timeout)
         self.returned_s = time.perf_counter()
         now, took = self.clock(), self.returned_s - began
+        overslept = timeout is not None and took > max(0.0, timeout) + AWAY_S
+        if busy_s > AWAY_S or overslept:
+            self.away = True
+        elif rested and took > WAITED_S:  # all input was read before it
+            self.away = False
         if (timeout is not None and took > max(0.0, timeout) + STOOD_S) or (busy_s > STOOD_S and not rested):
             self.stood_us = self.returned_us
         elif rested and took > WAITED_S:
--- a/maplestile/node.py
+++ b/maplestile/node.py
@@ -60,6 +60,7 @@
         seed, settings = self.config.seed, self.config.settings
         self.core = Core(settings, self.limits, seed, self.runners, clock, self._alarm, self.counters)
         self.runners.core, self.runners.starved = self.core, self._starved
+        self.runners.input_is_old = selector.input_is_old
         self.handle: asyncio.TimerHandle | None = None
         self.stopping = asyncio.Event()
         self.listening = False
--- a/maplestile/pool.py
+++ b/maplestile/pool.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from maplestile.core import AttemptId, Core, Request
+from maplestile.core import AttemptId, Core, Presence, Request
 from maplestile.fleet import Address, Fleet
 from maplestile.interface import NEVER_RAN, Result, WorkerState
 from maplestile.limits import Limits
@@ -38,7 +38,10 @@
 
 @dataclass(slots=True)
 class Message:
-    """One line to a runner. `fresh` marks what may not go to a runner that drains: all but a CANCEL."""
+    """One line to a runner. `fresh` marks what may not go to a runner that drains: all but a CANCEL.
+
+    A call's line is made when it is written, from `request` and `due_us`: it tells the runner how long the
+    client still waits, and it may have waited for its connection since it was decided."""
 
     line: bytes
     fresh: bool
@@ -49,6 +52,8 @@
     written_us: int = 0
     until_us: int = 0  # not to be written from then on, if over 0
     state: Attempt = Attempt.QUEUED  # of the attempt, or of the errand
+    request: Request | None = None
+    due_us: int = 0  # when the attempt is given up
 
 
 @dataclass(slots=True, eq=False)
@@ -66,6 +71,9 @@
     heard_us: int = 0
     rested_us: int = 0  # before the first request that it carries, until it is heard
 
+    def closed(self) -> bool:
+        return self.state is Link.CLOSED
+
     def streams(self) -> int:
         return len(self.open) + len(self.errands) + len(self.queue)
 
@@ -91,6 +99,8 @@
         self.where: dict[AttemptId, tuple[Connection, Message]] = {}
         self.connections = 0
         self.calls_written = 0  # attempts written whole
+        # Whether input may lie unread for so long that it tells of clients who left a while ago.
+        self.input_is_old: Callable[[], bool] = lambda: False
         # How long a connection may rest and still carry a request: learned, since some way along may drop it
         # sooner than the settings tell, and says so only when the next request comes.
         self.keep_us, self.kept_us = limits.runner_idle_us, 0
@@ -106,6 +116,10 @@
         """The pool has closed it: nothing of it is told any more."""
         raise NotImplementedError
 
+    def flush_soon(self, connection: Connection) -> None:
+        """Call `settled` once more input has been read."""
+        raise NotImplementedError
+
     # The list.
 
     def update(self, fleet: Fleet) -> None:
@@ -136,7 +150,8 @@
     def send(
         self, attempt: AttemptId, worker: str, request: Request, wait_us: int, until_us: int = 0
     ) -> None:
-        message = Message(wire.call(request, wait_us), True, attempt, request.tag, until_us=until_us)
+        due_us = self.clock() + wait_us
+        message = Message(b"", True, attempt, request.tag, until_us=until_us, request=request, due_us=due_us)
         if not self._put(worker, message):
             self.core.attempt_ended(attempt, Result.CONNECT_FAILED)
 
@@ -280,38 +295,78 @@
     def _flush(self, connection: Connection) -> None:
         """Write what the socket takes; what may no longer be sent ends here, unwritten."""
         socket = connection.socket
-        if socket is None or connection.state is Link.CLOSED or connection.partial is not None:
+        if socket is None or connection.closed() or connection.partial is not None:
             return
-        while connection.queue:
-            message = connection.queue.popleft()
-            forgotten = 0 < message.until_us <= self.clock()
-            if message.fresh and (forgotten or not connection.runner.takes_new):
-                # Told of a drain since the decision: rule 3 binds at the moment of writing. So does rule 1:
-                # a worker drops the repeat of a keyed call only for so long.
+        postponed = 0  # lines at the head of the queue that stay there for now
+        while len(connection.queue) > postponed and connection.partial is None:
+            message = connection.queue[postponed]
+            presence = self._presence(message)
+            if len(connection.queue) <= postponed or connection.queue[postponed] is not message:
+                continue  # its client has gone, and the core has withheld it
+            if presence is Presence.UNREAD:
+                postponed += 1
+                continue
+            del connection.queue[postponed]
+            if presence is Presence.GONE:
+                self.counters["runners.client_gone"] += 1
+                self._unsent(message, Result.MOOT)
+            elif self._stale(message, connection):
                 self.counters["runners.stale"] += 1
                 self._unsent(message, Result.MOOT)
-                continue
-            if not connection.open and not connection.errands:
-                connection.rested_us = self.clock() - connection.used_us
-            if message.attempt is not None:
-                connection.open[message.tag] = message.attempt
-            elif message.tag:
-                connection.errands[message.tag] = (message.order, message.probe)
-            self.move(message, Attempt.PART)
-            whole = socket.write(message.line)
-            connection.used_us = message.written_us = self.clock()
-            if not whole:
-                connection.partial = message
-                return
+            else:
+                self._begin(socket, connection, message)
+        if postponed and not connection.closed():
+            self.counters["runners.postponed"] += 1
+            self.flush_soon(connection)
+
+    def _stale(self, message: Message, connection: Connection) -> bool:
+        """Whether a rule has come to bar the line since it was decided: its runner drains (rule 3), the
+        repeat of a keyed call is dropped no more (rule 1), or its own deadline has passed."""
+        now = self.clock()
+        forgotten = 0 < message.until_us <= now
+        overdue = message.request is not None and message.due_us <= now
+        return message.fresh and (forgotten or overdue or not connection.runner.takes_new)
+
+    def _presence(self, message: Message) -> Presence:
+        """Guards against an attempt that begins after its client has left, where the loop was busy or stood
+        still and has yet to read of it. What is read in time has told the core already."""
+        if message.attempt is None or not self.input_is_old():
+            return Presence.WAITING
+        return self.core.presence(message.attempt)
+
+    def _begin(self, socket: Socket, connection: Connection, message: Message) -> None:
+        """Write one line; what of it the system does not take at once is the connection's `partial`."""
+        if not connection.open and not connection.errands:
+            connection.rested_us = self.clock() - connection.used_us
+        if message.attempt is not None:
+            connection.open[message.tag] = message.attempt
+        elif message.tag:
+            connection.errands[message.tag] = (message.order, message.probe)
+        self.move(message, Attempt.PART)
+        if message.request is not None:
+            message.line = wire.call(message.request, message.due_us - self.clock())
+        whole = socket.write(message.line)
+        connection.used_us = message.written_us = self.clock()
+        if whole:
             self._written(message)
+        else:
+            connection.partial = message
 
     def drained(self, connection: Connection) -> None:
         """The system has taken the rest of what was written in part."""
-        if connection.partial is not None and connection.state is not Link.CLOSED:
+        if connection.partial is not None and not connection.closed():
             self._written(connection.partial)
         connection.partial = None
         self._flush(connection)
 
+    def stalled(self, connection: Connection) -> None:
+        """The rest of a line is not taken for `runner_stall_us`. Guards the deadline that the line tells: it
+        would reach the runner too late to be true. What has not gone out goes elsewhere, since a further
+        connection to a runner that reads nothing would be filled, too."""
+        if connection.partial is not None and not connection.closed():
+            self.counters["runners.stalled"] += 1
+            self.close(connection, Result.RESET, again=False)
+
     def _written(self, message: Message) -> None:
         """The system has all of it."""
         if message.attempt is not None:
@@ -349,8 +404,9 @@
         else:
             self.core.order_ended(errand[0], answer.result, answer.copies)
 
-    def close(self, connection: Connection, result: Result) -> None:
-        """It is over: tell the core of all that was open: `result` if written whole, else it never ran."""
+    def close(self, connection: Connection, result: Result, again: bool = True) -> None:
+        """It is over: tell the core of all that was open: `result` if written whole, else it never ran. With
+        `again` what was not written whole goes by another connection to that runner, if this one came up."""
         if connection.state is Link.CLOSED:
             return
         self.move(connection, Link.CLOSED)
@@ -379,7 +435,8 @@
             if message.state is Attempt.PART:  # called off or answered meanwhile, it ends as it is
                 self.move(message, Attempt.QUEUED)
             # A connection that came up and broke says nothing of the runner: the rest goes by another.
-            if connection.socket is None or not self._again(connection.runner, message):
+            again = again and connection.socket is not None
+            if not (again and self._again(connection.runner, message)):
                 self._unsent(message, Result.MOOT if result is Result.MOOT else Result.CONNECT_FAILED)
 
     def _rested_too_long(self, connection: Connection) -> None:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+import struct
 import time
 import unittest
 from collections import Counter
@@ -13,6 +14,7 @@
 from maplestile.limits import Limits
 from maplestile.net.platform import Platform
 from maplestile.net.reads import Inbox
+from maplestile.wire.jsonrpc import REFUSED
 from tests.test_core import Rig
 from tests.test_machines import framed, message
 
@@ -27,12 +29,15 @@
     rested_us: int = 0
 
 
+def wire_code(answer: dict[str, Any]) -> int:
+    return int(answer["error"]["code"])
+
+
 class FrontTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.rig, self.counters, self.ready = Rig(), Counter[str](), False
-        self.front = Platform(
-            self.rig.core, LIMITS, self.counters, Stamps(self.rig.now), lambda: self.ready
-        )
+        self.stamps = Stamps(self.rig.now)
+        self.front = Platform(self.rig.core, LIMITS, self.counters, self.stamps, lambda: self.ready)
         self.server = await self.front.start("127.0.0.1", 0, False)
         self.addCleanup(self.server.close)
 
@@ -86,6 +91,120 @@
             writer.write(framed(b'{"id":1,"method":"check"}'))
             self.assertEqual((await self.answer(reader))["result"], {"ready": self.ready})
 
+    async def fill(self) -> list[asyncio.StreamWriter]:
+        """Take the front to its cap with connections that are owed an answer each."""
+        writers = list[asyncio.StreamWriter]()
+        for _ in range(LIMITS.client_connections):
+            _, writer = await self.connect()
+            writer.write(framed(message(limit=9_000)))
+            writers.append(writer)
+        async with asyncio.timeout(20):
+            while len(self.rig.core.open) < LIMITS.client_connections:
+                await asyncio.sleep(0.005)
+        return writers
+
+    async def test_newcomers_over_the_cap_have_their_requests_refused_and_none_is_closed_unanswered(
+        self,
+    ) -> None:
+        await self.fill()
+        newcomers = [await self.connect() for _ in range(5)]
+        for _, writer in newcomers:
+            writer.write(framed(message(limit=9_000)) + framed(message(limit=9_000)[:-1] + b"}")[:40])
+        for _, writer in newcomers:
+            await writer.drain()
+        for reader, _ in newcomers:
+            self.assertEqual(wire_code(await self.answer(reader)), REFUSED)
+        self.assertEqual(self.counters["clients.refused_at_cap"], 5)
+        self.assertEqual(len(self.rig.core.open), LIMITS.client_connections)
+
+    async def test_connection_whose_request_is_read_and_not_handled_yet_makes_no_room(self) -> None:
+        """The bytes are in the stream, and their reader has not had its turn."""
+        pairs = [await self.connect() for _ in range(2)]
+        for _, writer in pairs:
+            writer.write(framed(b'{"id":1,"method":"check"}'))
+        for reader, _ in pairs:
+            await self.answer(reader)
+        held = next(iter(self.front.clients))
+        held.reader.feed_data(framed(message(limit=9_000)))
+        self.assertTrue(self.front.make_room())
+        self.assertIn(held, self.front.clients)
+        async with asyncio.timeout(20):
+            while not self.rig.core.open:
+                await asyncio.sleep(0.005)
+
+    async def test_client_that_comes_back_stays_and_strangers_that_asked_once_make_room(self) -> None:
+        """A crowd that asks once and stays put out each client in use, whose requests crossed the close."""
+        reader, writer = await self.connect()
+        for id_ in (1, 2):
+            writer.write(framed(b'{"id":%d,"method":"check"}' % id_))
+            await self.answer(reader)
+        for _ in range(5):
+            stranger, stranger_writer = await self.connect()
+            stranger_writer.write(framed(b'{"id":1,"method":"check"}'))
+            await self.answer(stranger)
+        writer.write(framed(b'{"id":3,"method":"check"}'))
+        self.assertEqual((await self.answer(reader))["id"], 3)
+        self.assertEqual(self.counters["clients.made_room"], 4)
+
+    async def test_request_in_pieces_makes_no_room_before_its_rest_has_had_its_time(self) -> None:
+        limits = replace(LIMITS, client_message_us=9_000_000)
+        self.front.limits = limits
+        pairs = [await self.connect() for _ in range(2)]
+        whole = framed(message(limit=9_000))
+        for _, writer in pairs:
+            writer.write(whole[:50])
+        async with asyncio.timeout(20):
+            while sum(bool(client.framer.rest) for client in self.front.clients) < 2:
+                await asyncio.sleep(0.005)
+        self.rig.now += limits.client_grace_us + 1
+        self.assertFalse(self.front.make_room())
+        self.stamps.since_us = self.rig.now
+        pairs[0][1].write(whole[50:])
+        async with asyncio.timeout(20):
+            while not self.rig.core.open:
+                await asyncio.sleep(0.005)
+        self.rig.now += limits.client_unfinished_us
+        self.assertTrue(self.front.make_room())  # the one whose rest never came
+        self.assertEqual((self.counters["clients.made_room_unfinished"], len(self.rig.core.open)), (1, 1))
+
+    async def test_client_that_reads_keeps_its_answers_whatever_others_leave_unread(self) -> None:
+        """The one with the most unread answers was let go, though others read nothing at all."""
+        self.front.limits = replace(LIMITS, client_write_bytes=1 << 30, all_write_bytes=30_000_000)
+        deaf, reading = [await self.connect() for _ in range(2)]
+        async with asyncio.timeout(20):
+            while len(self.front.clients) < 2:
+                await asyncio.sleep(0.005)
+            hog, reader = self.front.clients
+            self.front._write(hog, bytes(13_000_000))
+            self.front._write(reader, bytes(14_000_000))
+            self.rig.now += 1_000_000
+            while reader.writer.transport.get_write_buffer_size():
+                await reading[0].read(1 << 20)
+            self.front._write(reader, bytes(25_000_000))  # the most that is unread
+            while hog in self.front.clients:
+                await asyncio.sleep(0.005)
+        self.assertIn(reader, self.front.clients)
+        self.assertFalse(reader.writer.is_closing())
+        self.assertEqual(self.counters["clients.too_slow"], 1)
+        del deaf
+
+    async def test_client_that_resets_its_connection_while_it_is_read_away_is_no_fault(self) -> None:
+        """Each left a trace of an exception in the log: 6,672 of them on one day of crowds."""
+        faults = list[dict[str, Any]]()
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: faults.append(context))
+        self.front.limits = replace(LIMITS, client_linger_us=5_000_000)
+        reader, writer = await self.connect()
+        writer.write(b"Content-")
+        self.assertIn("error", await self.answer(reader))
+        link = writer.get_extra_info("socket")
+        link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+        async with asyncio.timeout(20):
+            while self.front.clients:
+                await asyncio.sleep(0.005)
+        await asyncio.sleep(0)
+        self.assertEqual(faults, [])
+
     async def test_streams_of_a_connection_and_open_ids_are_bounded(self) -> None:
         reader, writer = await self.connect()
         call = json.loads(message(limit=9_000))
@@ -291,6 +410,12 @@
                 while self.front.clients:
                     await asyncio.sleep(0.005)
             self.assertEqual(len(self.front.closing), 2)
+            early, early_writer = await self.connect()  # they may read yet, so a newcomer is refused
+            early_writer.write(framed(message(limit=9_000)))
+            self.assertEqual(wire_code(await self.answer(early)), REFUSED)
+            self.assertTrue(await self.closed(early))
+            self.assertEqual((len(self.front.closing), self.counters["clients.made_room"]), (2, 0))
+            self.rig.now += LIMITS.client_unread_us + 1
             reader, writer = await self.connect()  # at the cap: the first of them makes room
             writer.write(framed(b'{"id":1,"method":"check"}'))
             await self.answer(reader)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -7,6 +7,7 @@
 import unittest
 import unittest.mock
 from collections import Counter
+from dataclasses import replace
 from typing import Any, cast
 
 from maplestile import interface as api
@@ -207,6 +208,7 @@
             while not self.worker.ran:
                 await asyncio.sleep(0.005)
         (connection,) = self.pool.runners["s-0"].connections
+        self.pool.limits = replace(self.pool.limits, runner_stall_us=60_000_000)
         self.worker.pause.clear()  # reads nothing, so what comes stays in the buffers
         big = Request("t2", "f", "review", 5_000_000, body=b"error:" + bytes(30_000_000))
         self.pool.send((2, 0), "s-0", big, 5_000_000)
