Hold the fleet's sum to a cold worker's budget, and rank by short prefixes kept up to date

Change: that least is scaled down by how far the function's own calls exceed a mean worker's part. Cause (data path): each row sorted all workers again at its first call after every list, and kept all of them. Change: RankingIndex keeps a prefix for each row, complete under a bound, and applies what has changed; a heap with lazy deletion finds the oldest row of a list; a forgotten row visits only the workers that it has met.

--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -7,6 +7,9 @@
 from maplestile import interface as api
 from maplestile.hashing import digest, mixed
 from maplestile.interface import ANSWERS, NEVER_RAN, Effect, ListKind, Result, Scope, Warmth, WorkerState
+from maplestile.listing import relisted
+from maplestile.ranking import RankingIndex
+from maplestile.recency import OldestFirst
 from maplestile.state import CACHING, MULTIPLE, SINGLE, Attempt, Call, Copy, Row, Window, Worker, Zone
 
 ELSEWHERE = (Result.MISS, Result.FULL)  # these say nothing against a further try at the same worker
@@ -57,7 +60,8 @@
         self.calls: dict[int, Call] = {}
         self.attempts: dict[tuple[int, int], tuple[Call, Attempt]] = {}
         self.timers: dict[int, Callable[[], object]] = {}
-        self.token, self.version, self.listed_us, self.capacity, self.late, self.pace = 0, 0, 0, 1, 0.0, 0.0
+        self.token, self.listed_us, self.capacity, self.late, self.pace = 0, 0, 1, 0.0, 0.0
+        self.index, self.oldest = RankingIndex[Worker](), [OldestFirst[Row](place) for place in range(3)]
         self.loads: dict[Copy, Worker] = {}
         self.weights, self.retries, self.heat, self.heat_us, self.began_us = 0.0, RETRY_BURST, 0.0, 0, 0
         self.arrivals, self.orders = Window(0), Window(0)  # `adopt` sizes them; orders count at the edge, too
@@ -105,10 +109,11 @@
             self.capacity = max(1, int(HOLD_SHARE * fleet * len(known) / sum(known) if known else 0))
         if not row.listed() or not (row.place == CACHING or self.rises(row, row.place + 1)):
             self.settle(row, max(SINGLE, row.place))
+        elif row.place == CACHING: self.oldest[CACHING].called(row)
 
     def rises(self, row: Row, place: int) -> bool:
-        there, full = self.lists[place].values(), len(self.lists[place]) >= self.capacity
-        worst = max(there, key=Row.aged, default=None) if full or place == CACHING else None
+        there, full = len(self.lists[place]), len(self.lists[place]) >= self.capacity
+        worst = self.oldest[place].first(there) if full or place == CACHING else None
         if worst is not None and row.aged() >= worst.aged(): return False
         self.settle(row, place)
         if full and worst is not None and not (place == CACHING and self.rises(worst, MULTIPLE)):
@@ -118,6 +123,7 @@
     def settle(self, row: Row, place: int) -> None:
         if row.listed(): del self.lists[row.place][row.function]
         row.place, self.lists[place][row.function] = place, row
+        self.oldest[place].settle(row)
         if len(self.lists[SINGLE]) > SINGLE_ROWS * self.capacity:
             oldest = next(iter(self.lists[SINGLE].values()))
             if not oldest.waiting and not oldest.busy: self.forget(oldest)
@@ -125,8 +131,7 @@
     def forget(self, row: Row) -> None:
         """All that is kept by its name: functions come and go for as long as the process lives."""
         del self.rows[row.function], self.lists[row.place][row.function]
-        for worker in self.workers.values():
-            if (copy := worker.copies.pop(row.function, None)) is not None: self.loads.pop(copy, None)
+        for copy in row.drop_copies(): self.loads.pop(copy, None)
 
     def faded(self, since_us: int, keeps: float) -> float:
         return float(0.5 ** ((self.now - since_us) / (keeps * self.keep_us)))
@@ -135,39 +140,32 @@
         if self.set.must_ask_for_list and event.kind in (ListKind.CACHED, ListKind.FAILED):
             self.timer(self.keep_us / SWEEPS, lambda: self.out.append(api.WatchList()))
         if event.kind is ListKind.FAILED: return
-        if event.kind is not ListKind.DELTA:
-            named = {e.worker for e in event.entries}
-            self.workers = {name: w for name, w in self.workers.items() if name in named}
-        for entry in event.entries:
-            known = self.workers.pop(entry.worker, None)
-            if entry.state is WorkerState.GONE: continue
-            # A restarted worker is a new record: it is empty, and its old symptoms say nothing of it.
-            if known is None or entry.started_us > known.entry.started_us:
-                known = Worker(entry, Window(self.set.fall_us), digest(entry.worker))
-                self.heard(entry.zone)  # one that has come up there is news of life
-            known.entry = entry
-            self.workers[entry.worker] = known
+        self.workers, started = relisted(self.workers, event, self.set.fall_us)
+        for worker in started: self.heard(worker.entry.zone)  # one that has come up there is news of life
         self.loads = {c: w for c, w in self.loads.items() if self.workers.get(w.entry.worker) is w}
         self.weights = sum(w.entry.weight for w in self.workers.values() if self.running(w)) or 1.0
-        self.listed_us = self.now
-        self.version += 1  # rankings are made anew at a row's next call only: a deploy brings many lists
+        self.rank()
 
-    def ranked(self, row: Row) -> list[Worker]:
+    def rank(self) -> None:
+        """Who may be ranked has changed; a row hears of it at its next call: a deploy brings many lists."""
+        listed, self.listed_us = [w for w in self.workers.values() if self.running(w)], self.now
+        lost = {zone.name for zone in self.zones.values() if zone.lost}
+        self.index.update([w for w in listed if w.entry.zone not in lost] or listed)
+
+    def ranked(self, row: Row, count: int = 1) -> list[Worker]:
         """Weighted rendezvous hashing of function and worker: no seed, so all dispatchers share it."""
-        if row.version != self.version:
-            row.version, before = self.version, row.ranking[: row.width]
-            listed = [w for w in self.workers.values() if self.running(w)]
-            running = [w for w in listed if not self.zones[w.entry.zone].lost] or listed
-            row.ranking = sorted(running, key=lambda w: mixed(row.salt, w.salt) / max(w.entry.weight, 1e-6))
-            for seat in row.ranking[: row.width] if before else []:
-                if seat not in before: row.copy(seat).seated_us = self.listed_us
+        before, fresh = row.ranking[: row.width], row.head.seen != self.index.version
+        self.index.refresh(row.head, max(count, row.width))
+        if fresh: row.keep_copies(self.workers)
+        for seat in row.ranking[: row.width] if fresh and before else []:
+            if seat not in before: row.copy(seat).seated_us = self.listed_us
         return row.ranking
 
     def width(self, row: Row) -> int:
         """A function's seats, by its share of own calls but this: at scale no dispatcher fills the lanes."""
         share = max(0.0, row.heat - row.service_us) / (self.heat + PRIOR_CALLS * row.service_us)
         fill = self.set.dispatchers * self.rate() / (SEAT_FILL * row.lanes)
-        return min(len(row.ranking), round(max(1.0, share * len(row.ranking) / SEAT, share * fill)))
+        return min(len(self.index), round(max(1.0, share * len(self.index) / SEAT, share * fill)))
 
     def rate(self) -> float:
         return self.heat / min(self.now - self.began_us + SPELL_US, HEAT_KEEPS * self.keep_us / math.log(2))
@@ -215,8 +213,8 @@
             if held.id in row.waiting: return  # back at the end: one try a wake, and it must not block others
 
     def choose(self, call: Call) -> Worker | None:
-        row, ranked, home = call.row, self.ranked(call.row), self.workers.get(call.row.home)
-        width = self.width(row)
+        row, home, width = call.row, self.workers.get(call.row.home), self.width(call.row)
+        ranked = self.ranked(row, width + max(width, OVERFLOW))
         seats, near = ranked[:width], ranked[: width + OVERFLOW]
         if width > NEAR: near = self.random.sample(near, NEAR)  # all seats of a hot function cost too much
         # As seats are added a part of the homes moves there: all dispatchers' first calls went to the first.
@@ -299,7 +297,8 @@
         if self.now < paused_us or not room: return False
         twice = call.outstanding() and not call.rules.may_duplicate
         if call.attempts and (twice or not self.repeatable(call, worker)): return False
-        return self.ramp_allows(worker, call.rules, math.inf if call.attempts else row.service_us, 1)
+        least = min(1.0, row.width * self.heat * worker.entry.weight / (self.weights * row.heat))
+        return self.ramp_allows(worker, call.rules, math.inf if call.attempts else row.service_us, least)
 
     def repeatable(self, call: Call, worker: Worker) -> bool:
         """Rule 1: where a call that went out before may ever go again."""
@@ -315,7 +314,7 @@
         same = first.zone == entry.zone if kind.scope is Scope.ZONE else first.cell == entry.cell
         return self.now + call.rules.tick_us < call.kept_us() and (same or kind.scope is Scope.ALL)
 
-    def ramp_allows(self, worker: Worker, rules: api.Settings, work_us: float, least: int) -> bool:
+    def ramp_allows(self, worker: Worker, rules: api.Settings, work_us: float, least: float) -> bool:
         """Rule 4 for the fleet: each sends a part of its usual calls, or of `least`, rounded by a draw of its
         own for each span. Loads have no least: they ask till they may. Storms tell endless work."""
         risen = max(0, self.now - worker.entry.started_us) / max(1, rules.cold_us)  # evenly, at the slowest
@@ -470,7 +469,8 @@
 
     def turn(self, zone: Zone) -> None:
         if zone.lost != (len(zone.silent) >= LOST_WORKERS):
-            zone.lost, self.listed_us, self.version = not zone.lost, self.now, self.version + 1
+            zone.lost = not zone.lost
+            self.rank()
             self.out.append(api.Log(f"zone {zone.name} {'is silent' if zone.lost else 'is heard again'}"))
 
     def abandon(self, call: Call) -> None:
--- a/maplestile/explore/fingerprint.py
+++ b/maplestile/explore/fingerprint.py
@@ -22,8 +22,9 @@
     Core: {"settings", "limits", "seed", "pool", "clock", "alarm", "counters", "answers", "dispatcher",
            "move", "may_probe", "probed", "admits", "sent", "epochs", "decided", "timers", "ticks", "number",
            "armed", "events", "acting"},
-    Dispatcher: {"set", "out", "classes", "random", "salt", "timers", "token", "now", "memory", "version"},
-    Row: {"salt", "ranking", "version"}, Worker: {"salt"}, Call: {"rules", "kind"},
+    Dispatcher: {"set", "out", "classes", "random", "salt", "timers", "token", "now", "memory", "index",
+                 "oldest"},
+    Row: {"salt", "head", "seen", "settled"}, Worker: {"salt"}, Call: {"rules", "kind"},
     Pool: {"limits", "clock", "counters", "move", "core", "world", "calls_written"},
     Runner: {"connections"}, Message: {"line"},
 }  # fmt: skip
--- a/maplestile/state.py
+++ b/maplestile/state.py
@@ -1,9 +1,11 @@
 """The plain records that a dispatcher keeps; they hold what was seen and decide nothing."""
 
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from maplestile.interface import NEVER_RAN, CallClass, Effect, Result, Settings, WorkerEntry
+from maplestile.ranking import Ranking
 
 NOWHERE, SINGLE, MULTIPLE, CACHING = -1, 0, 1, 2  # the place of a row: the three lists in their order
 
@@ -93,7 +95,7 @@
     last_us: int = 0
     heat: float = 0.0
     busy: int = 0
-    version: int = 0
+    settled: int = 0  # when it came to its place, as a number that rises
     width: int = 1
     retry_us: int = 0
     memory_mb: float = 0.0
@@ -101,8 +103,27 @@
     loading_us: int = 0
     good: bool = False  # it was served once
     errors: int = 0  # until then
-    ranking: list[Worker] = field(default_factory=list)
     waiting: dict[int, "Call"] = field(default_factory=dict)
+    head: Ranking[Worker] = field(init=False)
+    seen: list[Worker] = field(default_factory=list)  # those with a record of a copy, also if they have gone
+
+    def __post_init__(self) -> None:
+        self.head = Ranking(self.salt)
+
+    @property
+    def ranking(self) -> list[Worker]:
+        """The first workers of its ranking, at the last look."""
+        return self.head.workers
+
+    def keep_copies(self, workers: Mapping[str, Worker]) -> None:
+        """Forget which of its workers are no more."""
+        self.seen = [worker for worker in self.seen if workers.get(worker.entry.worker) is worker]
+
+    def drop_copies(self) -> list[Copy]:
+        """Take away its records at all workers; those taken away."""
+        dropped = [worker.copies.pop(self.function) for worker in self.seen if self.function in worker.copies]
+        self.seen = []
+        return dropped
 
     def listed(self) -> bool:
         return self.place != NOWHERE
@@ -114,6 +135,7 @@
         copy = worker.copies.get(self.function)
         if copy is None:
             copy = worker.copies[self.function] = Copy()
+            self.seen.append(worker)
         return copy
 
 
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -10,6 +10,10 @@
 MODULE = ROOT / "maplestile" / "decide.py"
 ALLOWED = {"maplestile", "maplestile.interface", "maplestile.state", "collections.abc"}
 ALLOWED |= {"math", "random", "maplestile.hashing"}  # random is seeded with the dispatcher's own seed
+# What it stands on, which decides nothing, and is held to the same.
+INDEXES = [ROOT / "maplestile" / f"{name}.py" for name in ("listing", "ranking", "recency")]
+ALLOWED |= {f"maplestile.{file.stem}" for file in INDEXES}
+PLAIN = {"heapq", "bisect", "itertools", "dataclasses", "typing"}
 
 
 def test_module_stays_short() -> None:
@@ -19,16 +23,22 @@
     assert "maplestile/interface.py" in lines[0]
 
 
-def test_module_imports_nothing_that_reads_clocks_files_or_chance() -> None:
+def imported(file: Path) -> set[str]:
     found = set()
-    for node in ast.walk(ast.parse(MODULE.read_text())):
+    for node in ast.walk(ast.parse(file.read_text())):
         if isinstance(node, ast.Import):
             found |= {alias.name for alias in node.names}
         elif isinstance(node, ast.ImportFrom):
             found.add(node.module or "")
         elif isinstance(node, ast.Call) and isinstance(node.func, ast.Name):
             assert node.func.id not in {"hash", "open", "print", "input"}
-    assert found <= ALLOWED
+    return found
+
+
+def test_module_imports_nothing_that_reads_clocks_files_or_chance() -> None:
+    assert imported(MODULE) <= ALLOWED
+    for file in INDEXES:
+        assert imported(file) <= (ALLOWED | PLAIN) - {"random"}
 
 
 def run_link(text: str, hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
--- /dev/null
+++ b/tests/test_ranking.py
@@ -0,0 +1,183 @@
+"""Rankings kept up to date against rankings made by sorting all workers."""
+
+import math
+from dataclasses import dataclass
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from maplestile.hashing import digest, mixed
+from maplestile.ranking import LEAST_WEIGHT, WEIGHTS_MOST, Ranking, RankingIndex
+from maplestile.recency import OldestFirst
+
+
+@dataclass(frozen=True)
+class Entry:
+    weight: float
+
+
+@dataclass(eq=False)
+class Worker:
+    name: str
+    entry: Entry
+
+    @property
+    def salt(self) -> int:
+        return digest(self.name)
+
+
+def sorted_names(salt: int, workers: list[Worker], count: int) -> list[str]:
+    def key(worker: Worker) -> float:
+        return mixed(salt, worker.salt) / max(worker.entry.weight, LEAST_WEIGHT)
+
+    return [worker.name for worker in sorted(workers, key=key)[:count]]
+
+
+def names(ranking: Ranking[Worker], count: int) -> list[str]:
+    return [worker.name for worker in ranking.workers[:count]]
+
+
+WEIGHTS = st.sampled_from([1.0, 2.0, 4.0]) | st.floats(0.01, 100)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["come", "leave", "weigh", "many"]), st.integers(0, 400), WEIGHTS,
+        st.sampled_from(["f", "g", "h"]), st.integers(1, 30),
+    ),
+    max_size=60,
+)  # fmt: skip
+
+
+def change(workers: dict[str, Worker], step: str, number: int, weight: float) -> None:
+    name = f"w{number}"
+    if step == "come":
+        workers[name] = Worker(name, Entry(weight))
+    elif step == "leave":
+        workers.pop(name, None)
+    elif step == "weigh" and name in workers:
+        workers[name].entry = Entry(weight)
+    elif step == "many":
+        for other in range(number, number + 80):
+            workers.setdefault(f"w{other}", Worker(f"w{other}", Entry(weight)))
+
+
+@given(STEPS, st.booleans())
+def test_a_ranking_is_what_sorting_tells_whatever_changes_led_there(
+    steps: list[tuple[str, int, float, str, int]], looks_rarely: bool
+) -> None:
+    index, workers = RankingIndex[Worker](), dict[str, Worker]()
+    rankings = {name: Ranking[Worker](digest(name)) for name in "fgh"}
+    for at, (step, number, weight, function, count) in enumerate(steps):
+        change(workers, step, number, weight)
+        index.update(workers.values())
+        if looks_rarely and at % 7:
+            continue
+        ranking = rankings[function]
+        index.refresh(ranking, count)
+        told = sorted_names(ranking.salt, list(workers.values()), count)
+        assert names(ranking, count) == told
+        assert len(index) == len(workers)
+
+
+@given(st.permutations(range(40)), st.permutations(range(40)), st.integers(1, 12))
+def test_two_routers_rank_alike_whatever_order_their_lists_came_in(
+    first: list[int], second: list[int], count: int
+) -> None:
+    """Each hears of the same 40 workers one by one, and of 20 that leave, in an order of its own."""
+    found = []
+    for order in (first, second):
+        index, workers, ranking = RankingIndex[Worker](), dict[str, Worker](), Ranking[Worker](digest("f"))
+        for number in order:
+            workers[f"w{number}"] = Worker(f"w{number}", Entry(1.0 + number % 3))
+            index.update(workers.values())
+            index.refresh(ranking, count)
+        for number in [n for n in order if n % 2]:
+            del workers[f"w{number}"]
+            index.update(workers.values())
+            index.refresh(ranking, count)
+        found.append(names(ranking, count))
+    assert found[0] == found[1]
+
+
+def fleet(size: int, weights: int = 1) -> dict[str, Worker]:
+    return {f"w{n}": Worker(f"w{n}", Entry(1.0 + n % weights)) for n in range(size)}
+
+
+def test_work_of_a_change_and_memory_of_a_function_do_not_grow_with_the_fleet() -> None:
+    """Counted: passes over all workers, and workers held."""
+    passes, held = list[int](), list[int]()
+    for size in (100, 1_000, 4_000):
+        index, workers, ranking = RankingIndex[Worker](), fleet(size), Ranking[Worker](digest("f"))
+        index.update(workers.values())
+        index.refresh(ranking, 3)
+        before = index.passes
+        for number in range(200):
+            workers.pop(f"w{number % size}", None)
+            workers[f"new-{number}"] = Worker(f"new-{number}", Entry(1.0))
+            index.update(workers.values())
+            index.refresh(ranking, 3)
+            held.append(len(ranking.workers))
+        passes.append(index.passes - before)
+        assert names(ranking, 3) == sorted_names(ranking.salt, list(workers.values()), 3)
+    assert passes[0] >= passes[1] >= passes[2]
+    assert passes[2] <= 2
+    assert max(held) <= 2 * (2 * 3 + 8)
+
+
+def test_many_weights_are_ranked_by_their_keys_alone() -> None:
+    workers = fleet(500, WEIGHTS_MOST + 5)
+    index, ranking = RankingIndex[Worker](), Ranking[Worker](digest("f"))
+    index.update(workers.values())
+    index.refresh(ranking, 5)
+    assert names(ranking, 5) == sorted_names(ranking.salt, list(workers.values()), 5)
+    assert not math.isinf(ranking.bound)
+    index.refresh(ranking, 500)
+    assert names(ranking, 500) == sorted_names(ranking.salt, list(workers.values()), 500)
+
+
+def test_ranking_that_was_not_looked_at_for_long_is_made_anew_once() -> None:
+    index, workers, ranking = RankingIndex[Worker](), fleet(50), Ranking[Worker](digest("f"))
+    index.update(workers.values())
+    index.refresh(ranking, 2)
+    for number in range(9_000):  # over all changes that are kept
+        workers[f"w{number % 50}"] = Worker(f"w{number % 50}", Entry(1.0))
+        index.update(workers.values())
+    before = index.passes
+    index.refresh(ranking, 2)
+    index.refresh(ranking, 2)
+    assert index.passes == before + 1
+    assert names(ranking, 2) == sorted_names(ranking.salt, list(workers.values()), 2)
+
+
+@dataclass(eq=False)
+class Row:
+    name: int
+    place: int = 0
+    settled: int = 0
+    age: int = 0
+
+    def aged(self) -> int:
+        return self.age
+
+
+ROW_STEPS = st.tuples(st.sampled_from(["settle", "call", "leave"]), st.integers(0, 8), st.integers(0, 3))
+
+
+@given(st.lists(ROW_STEPS))
+def test_the_oldest_row_is_the_one_that_a_scan_finds(steps: list[tuple[str, int, int]]) -> None:
+    index, there, rows = OldestFirst[Row](2), dict[int, Row](), [Row(number) for number in range(9)]
+    for step, number, age in steps * 8:
+        row = rows[number]
+        row.age = age if step != "leave" else row.age
+        if step == "settle":
+            there.pop(number, None)
+            there[number], row.place = row, 2
+            index.settle(row)
+        elif step == "call" and number in there:
+            index.called(row)
+        elif step == "leave" and number in there:
+            del there[number]
+            row.place = 1
+        elif number in there:
+            index.called(row)
+        assert index.first(len(there)) is max(there.values(), key=Row.aged, default=None)
+    assert len(index.heap) <= 4 * len(there) + 64 + 1
