Format the tree, run tests side by side, and let idle connections make room for further runners

At the cap of connections to runners a dial now closes the connection that has lain idle longest: with more runners than descriptors a call to a further one counted as a refused connection (test_pool, fails before).

--- a/examples/toy_worker.py
+++ b/examples/toy_worker.py
@@ -1,6 +1,6 @@
 """A toy worker: speaks the runners' lines, takes its time, and answers each body backwards.
 
-    python examples/toy_worker.py --port 9001 --work-ms 50
+python examples/toy_worker.py --port 9001 --work-ms 50
 """
 
 import argparse
--- a/maplestile/cli.py
+++ b/maplestile/cli.py
@@ -353,9 +353,7 @@
         recorder = arrivals.Recorder(asked.seed, asked.count)
         trace = _read_traces(asked.trace, recorder.keep)
         made = arrivals.replay(recorder, arrivals.names_of(trace, next(iter(weights), "")), asked.speed)
-    ask = client.Ask(
-        b"x" * asked.body_bytes, asked.tenant, asked.class_name, asked.deadline_ms, asked.keys
-    )
+    ask = client.Ask(b"x" * asked.body_bytes, asked.tenant, asked.class_name, asked.deadline_ms, asked.keys)
     load = client.Load(targets, ask, asked.wait_s)
     result = asyncio.run(load.run(arrivals.bounded(made, asked.seconds, asked.count), asked.open))
     print(json.dumps(report.told(result), indent=2))
--- a/maplestile/config.py
+++ b/maplestile/config.py
@@ -54,9 +54,7 @@
         return Config(
             name=str(told.get("name", "")),
             settings=settings,
-            limits=Limits.of(
-                settings, int(limits.get("sockets", 1024)), float(limits.get("memory_mb", 192))
-            ),
+            limits=Limits.of(settings, int(limits.get("sockets", 1024)), float(limits.get("memory_mb", 192))),
             listen=address(told["listen"]) if "listen" in told else None,
             dns=address(told["dns"]) if "dns" in told else None,
             fleet=fleet,
--- a/maplestile/control/decide.py
+++ b/maplestile/control/decide.py
@@ -67,9 +67,7 @@
         heard = self.heard.get(name)
         return heard is not None and heard.word.ready and now_us - heard.at_us <= self.rules.fresh_us
 
-    def decide(
-        self, control: Control, members_out: frozenset[str], term: int, now_us: int
-    ) -> Command | None:
+    def decide(self, control: Control, members_out: frozenset[str], term: int, now_us: int) -> Command | None:
         """At most one command: the log answers it before the next is thought of."""
         rollout = control.rollout
         self._follow(control, now_us)
--- a/maplestile/control/state.py
+++ b/maplestile/control/state.py
@@ -373,6 +373,7 @@
     @classmethod
     def of(cls, told: dict[str, Any]) -> "Control":
         """What `told` tells, read back elsewhere. Raises KeyError, TypeError or ValueError."""
+
         def rollout(one: dict[str, Any]) -> Rollout:
             return Rollout(**{**one, "phase": Phase(one["phase"]), "targets": tuple(one["targets"])})
 
@@ -389,6 +390,7 @@
 
     def told(self) -> dict[str, Any]:
         """For operators and for the snapshot: everything, in JSON's types."""
+
         def rollout(one: Rollout) -> dict[str, Any]:
             return asdict(one) | {"phase": one.phase.value, "targets": list(one.targets)}
 
--- a/maplestile/core.py
+++ b/maplestile/core.py
@@ -76,9 +76,7 @@
 class Pool(Protocol):
     """What the core needs of the workers' side; ends come back through the core's `*_ended` methods."""
 
-    def send(
-        self, attempt: AttemptId, worker: str, request: Request, wait_us: int, until_us: int
-    ) -> None:
+    def send(self, attempt: AttemptId, worker: str, request: Request, wait_us: int, until_us: int) -> None:
         """Write it as soon as that can be, but from `until_us` on (if over 0) no more: it ends as MOOT."""
         ...
 
@@ -279,9 +277,7 @@
         elapsed_us = max(0, self.clock() - flight.sent_us)
         ended = attempt[0] not in self.open
         warmth = api.Warmth.UNTOLD
-        self.give(
-            api.AttemptEnded(*attempt, flight.worker, result, elapsed_us, ended, warmth, alike, report)
-        )
+        self.give(api.AttemptEnded(*attempt, flight.worker, result, elapsed_us, ended, warmth, alike, report))
 
     def probe(self, worker: str) -> None:
         """One probe, whoever wants it; its end goes to the module and to `probed`."""
@@ -415,9 +411,7 @@
             self.pool.cancel(attempt)
             self.attempt_ended(attempt, Result.TIMEOUT)
 
-    def _errand(
-        self, worker: str, function: str, wait_us: int, ended: Callable[[int, Result], None]
-    ) -> int:
+    def _errand(self, worker: str, function: str, wait_us: int, ended: Callable[[int, Result], None]) -> int:
         self.number += 1
         tag, now = self.number, self.clock()
         self.errands[tag] = Errand(worker, function, now)
--- a/maplestile/explore/fingerprint.py
+++ b/maplestile/explore/fingerprint.py
@@ -25,8 +25,8 @@
     Dispatcher: {"set", "out", "classes", "random", "salt", "timers", "token", "now", "memory", "index",
                  "oldest"},
     Row: {"salt", "head", "seen", "settled"}, Worker: {"salt"}, Call: {"rules", "kind"},
-    Pool: {"limits", "clock", "counters", "move", "core", "world", "calls_written"},
-    Runner: {"connections"}, Message: {"line"},
+    Pool: {"limits", "clock", "counters", "move", "core", "world", "calls_written", "all"},
+    Runner: {"connections"}, Message: {"line", "request"},
 }  # fmt: skip
 
 
--- a/maplestile/explore/search.py
+++ b/maplestile/explore/search.py
@@ -92,9 +92,7 @@
     return report
 
 
-def shrunk(
-    case: Case, events: Sequence[Event], problem: tuple[str, str], parts: Parts = SHIPPED
-) -> Example:
+def shrunk(case: Case, events: Sequence[Event], problem: tuple[str, str], parts: Parts = SHIPPED) -> Example:
     """Without every event that the breaking of the same property does not need."""
     kept, name = list(events), problem[0]
     again = True
--- a/maplestile/faults/schedule.py
+++ b/maplestile/faults/schedule.py
@@ -140,9 +140,7 @@
         reorder_us=_us(net, "reorder_ms", 20.0),
     )
     net.end()
-    faults = [
-        _fault(kind, table, members) for kind in KINDS for table in top.tables(kind, needed=False)
-    ]
+    faults = [_fault(kind, table, members) for kind in KINDS for table in top.tables(kind, needed=False)]
     return Schedule(seed, members, told, tuple(sorted(faults, key=lambda fault: fault.at_us)))
 
 
--- a/maplestile/invoke/operator.py
+++ b/maplestile/invoke/operator.py
@@ -230,5 +230,3 @@
     }
     table.end()
     return worker
-
-
--- a/maplestile/policy/agreed.py
+++ b/maplestile/policy/agreed.py
@@ -184,6 +184,7 @@
     @classmethod
     def of(cls, told: dict[str, Any]) -> "Agreed":
         """What `told` tells, read back elsewhere. Raises KeyError, TypeError or ValueError."""
+
         def change(one: dict[str, Any]) -> Change:
             return Change(**{**one, "phase": Phase(one["phase"])})
 
@@ -197,6 +198,7 @@
 
     def told(self) -> dict[str, Any]:
         """Everything, in JSON's types."""
+
         def change(one: Change) -> dict[str, Any]:
             return asdict(one) | {"phase": one.phase.value}
 
--- a/maplestile/policy/document.py
+++ b/maplestile/policy/document.py
@@ -88,7 +88,7 @@
 
 
 def digest_of(document: Document | None) -> str:
-    """"" stands for the files' own."""
+    """ "" stands for the files' own."""
     return "" if document is None else document.digest()
 
 
--- a/maplestile/policy/plan.py
+++ b/maplestile/policy/plan.py
@@ -1,10 +1,10 @@
 """The `[policy]` table of an operator's file: this router's policy is the fleet's matter.
 
-    [policy]                          # needs [operation], by which its agent tells it what is committed
-    folder = "/var/lib/maplestile/r1" # the last committed epoch is kept there
-    stale_s = 5                       # nothing heard for so long: cut off, and its epoch may be old
-    wait_s = 10                       # a router that starts cut off serves by its record after so long
-    trace = false                     # an event for each attempt, with its epoch, for checkers"""
+[policy]                          # needs [operation], by which its agent tells it what is committed
+folder = "/var/lib/maplestile/r1" # the last committed epoch is kept there
+stale_s = 5                       # nothing heard for so long: cut off, and its epoch may be old
+wait_s = 10                       # a router that starts cut off serves by its record after so long
+trace = false                     # an event for each attempt, with its epoch, for checkers"""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
--- a/maplestile/pool.py
+++ b/maplestile/pool.py
@@ -98,6 +98,7 @@
         self.runners: dict[str, Runner] = {}
         self.where: dict[AttemptId, tuple[Connection, Message]] = {}
         self.connections = 0
+        self.all: dict[Connection, None] = {}
         self.calls_written = 0  # attempts written whole
         # Whether input may lie unread for so long that it tells of clients who left a while ago.
         self.input_is_old: Callable[[], bool] = lambda: False
@@ -261,16 +262,28 @@
         return self._open(runner) or best
 
     def _open(self, runner: Runner) -> Connection | None:
-        if self.connections >= self.limits.runner_connections:  # the descriptors are budgeted
+        if self.connections >= self.limits.runner_connections and not self._make_room():
             return None
         now = self.clock()
         connection = Connection(runner, now, now)
         runner.connections.append(connection)
         self.connections += 1
+        self.all[connection] = None
         self.counters["runners.connections"] += 1
         self.dial(connection)
         return connection
 
+    def _make_room(self) -> bool:
+        """The descriptors are budgeted: close the connection that has carried nothing longest. Guards calls
+        to a further runner, where many have left idle connections, from counting as refused there."""
+        idle = (c for c in self.all if c.state is Link.UP and not c.streams())
+        oldest = min(idle, key=lambda c: c.used_us, default=None)
+        if oldest is None:
+            return False
+        self.counters["runners.made_room"] += 1
+        self.close(oldest, Result.RESET)
+        return True
+
     def up(self, connection: Connection, socket: Socket) -> None:
         connection.socket = socket
         self.move(connection, Link.UP)
@@ -412,6 +425,7 @@
         self.move(connection, Link.CLOSED)
         connection.runner.connections.remove(connection)
         self.connections -= 1
+        del self.all[connection]
         unsent, connection.queue = connection.queue, deque()
         if connection.socket is not None:
             # What the transport still holds has not reached the runner whole. Once the transport has failed
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -49,5 +49,6 @@
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter, config: pytest.Config) -> None:
-    for one in config.stash.get(KNOWN, []):
+    # With xdist the tests are collected by other processes than this one.
+    for one in config.stash.get(KNOWN, None) or known(config.rootpath):
         terminalreporter.write_line(f"known red: {one.test}: {one.cause} ({one.issue})")
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -132,4 +132,3 @@
     ("no-forbidden-move", "late", Parts(pool=CallsOffLater)),
     ("no-crash", "late", Parts(pool=KnowsEverybody)),
 )
-
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -214,7 +214,7 @@
             self.runner_ports[1] = ports[-1]
         ports.pop()
         self.listens, self.rafts, rest = ports[:AGENTS], ports[AGENTS : 2 * AGENTS], ports[2 * AGENTS :]
-        self.udp, self.invoke, self.operator = (rest[n :: 3] for n in range(3))
+        self.udp, self.invoke, self.operator = (rest[n::3] for n in range(3))
         self.step_s = step_s
         for n in range(len(self.names)):
             self._router(n)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -241,6 +241,7 @@
 
     def served(self, class_name: str, body: bytes, **params: Any) -> dict[str, Any]:
         """The answer of a call that is served: one refused, as for lag on a busy machine, comes again."""
+
         def once() -> dict[str, Any] | None:
             self.call(class_name, body, **params)
             answer = self.read() or {}
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -22,9 +22,7 @@
         self.sent: list[AttemptId] = []
         self.cancelled: list[AttemptId] = []
         self.unwritten = set[AttemptId]()  # those that wait for their connection
-        self.core = Core(
-            settings_from(params()), Limits(**limits), 7, self, lambda: self.now, self._alarm
-        )
+        self.core = Core(settings_from(params()), Limits(**limits), 7, self, lambda: self.now, self._alarm)
         entries = tuple(
             api.WorkerEntry(f"s-{n}", "east", "std", 2, api.WorkerState.RUNNING, 4.0, 0) for n in range(2)
         )
@@ -34,9 +32,7 @@
     def _alarm(self, due_us: int) -> None:
         self.due = due_us
 
-    def send(
-        self, attempt: AttemptId, worker: str, request: Request, wait_us: int, until_us: int
-    ) -> None:
+    def send(self, attempt: AttemptId, worker: str, request: Request, wait_us: int, until_us: int) -> None:
         self.sent.append(attempt)
 
     def cancel(self, attempt: AttemptId) -> None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -148,7 +148,6 @@
         self.assertIsNone(self.client.read())
         self.client.close()
 
-
     def test_what_came_and_was_called_off_while_the_process_stood_still_is_not_begun(self) -> None:
         worker = Worker()
         self.start(worker)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -359,6 +359,7 @@
 
     async def test_connection_ends_with_its_last_answer_and_not_in_the_midst_of_what_was_read(self) -> None:
         """The process begins to part between two messages of one read, and a call stands behind them."""
+
         def ready() -> bool:
             self.front.part(0)
             return True
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -54,7 +54,6 @@
         # The healing's full exchanges carry the other side's old deaths: taken as such, they were 27 here.
         self.assertEqual(figures["false_positives"], 0)
 
-
     def test_hundred_members_heal_without_killing_their_own(self) -> None:
         sides = [list(range(40))]
         figures = model(members=100, seconds=70, split=[{"at_s": 5, "until_s": 45, "sides": sides}])
@@ -147,7 +146,6 @@
         self.assertEqual(shares.given_up, 100 - len(first))
 
 
-
 class JoinTest(unittest.TestCase):
     def test_a_joiner_is_learned_by_all_also_where_the_seeds_word_of_it_died_out(self) -> None:
         tuning = Tuning(period_us=100_000, ack_us=40_000)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -138,6 +138,28 @@
         self.assertEqual(self.pool.keep_us, 5_000_000)
         self.assertEqual(self.counters["runners.broke_after_rest"], 1)
 
+    async def test_idle_connections_make_room_for_another_runner_at_the_cap(self) -> None:
+        """A fleet of more runners than descriptors: each call to a further one counted as refused there."""
+        self.pool.limits = replace(self.pool.limits, runner_connections=2)
+        workers = [Worker() for _ in range(4)]
+        entries = [
+            (
+                api.WorkerEntry(f"m-{n}", "east", "std", 2, api.WorkerState.RUNNING, 4.0, 0),
+                ("127.0.0.1", worker.port),
+            )
+            for n, worker in enumerate(workers)
+        ]
+        self.fleet.apply_whole(self.fleet.version + 1, entries)
+        self.pool.update(self.fleet)
+        for number in range(4):
+            self.now += 1_000
+            request = Request(f"t{number}", "f", "review", 5_000_000, body=b"abc")
+            self.pool.send((number, 0), f"m-{number}", request, 5_000_000)
+            await self.until(number)
+        self.assertEqual(set(self.ends.ended.values()), {Result.OK})
+        self.assertEqual((self.pool.connections, self.counters["runners.made_room"]), (2, 2))
+        self.assertEqual([len(self.pool.runners[f"m-{n}"].connections) for n in range(4)], [0, 0, 1, 1])
+
     async def test_restarted_runner_is_not_spoken_to_on_an_old_connection(self) -> None:
         self.send(1, b"hang:")
         self.send(2, b"abc")
@@ -172,7 +194,6 @@
         await self.until(1)
         self.assertEqual(self.ends.ended[1, 0], Result.RESET)
 
-
     async def test_line_that_cannot_be_read_condemns_its_connection_and_all_that_is_open_there(self) -> None:
         long = b"x" * 70_000
         for n, spoilt in enumerate((b"\x99\xce\n", b'{"call":"TAG"}\n', b"5\n", b'{"kind":"200', long)):
--- a/tools/measure_rollout.py
+++ b/tools/measure_rollout.py
@@ -60,6 +60,7 @@
     before = (fleet.status(0)["rollout"] or {}).get("number")
     began = time.monotonic()
     assert fleet.run(0, "rollout", "start", "--budget", str(budget))[0] == 0
+
     def ended() -> bool:
         rollout = fleet.status(0)["rollout"] or {}
         return bool(rollout.get("number") != before and rollout.get("phase") == "done")
