Pass over all workers by one long product, and let whoever is yet to ask outlive strangers

Rankings: a pass over 3,750 workers at a function's first call was a comprehension over their hashes; the hashes now lie in lanes of one number, and bytes tell the candidates.

--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -62,7 +62,7 @@
         self.timers: dict[int, Callable[[], object]] = {}
         self.token, self.listed_us, self.capacity, self.late, self.pace = 0, 0, 1, 0.0, 0.0
         self.index, self.oldest = RankingIndex[Worker](), [OldestFirst[Row](place) for place in range(3)]
-        self.loads: dict[Copy, Worker] = {}
+        self.loads, self.draining = dict[Copy, Worker](), set[str]()
         self.weights, self.retries, self.heat, self.heat_us, self.began_us = 0.0, RETRY_BURST, 0.0, 0, 0
         self.arrivals, self.orders = Window(0), Window(0)  # `adopt` sizes them; orders count at the edge, too
         self.adopt(settings)
@@ -143,12 +143,13 @@
         self.workers, started = relisted(self.workers, event, self.set.fall_us)
         for worker in started: self.heard(worker.entry.zone)  # one that has come up there is news of life
         self.loads = {c: w for c, w in self.loads.items() if self.workers.get(w.entry.worker) is w}
-        self.weights = sum(w.entry.weight for w in self.workers.values() if self.running(w)) or 1.0
         self.rank()
 
     def rank(self) -> None:
         """Who may be ranked has changed; a row hears of it at its next call: a deploy brings many lists."""
-        listed, self.listed_us = [w for w in self.workers.values() if self.running(w)], self.now
+        listed = [w for w in self.workers.values() if w.entry.state is WorkerState.RUNNING]
+        self.draining = {n for n, w in self.workers.items() if w.entry.state is not WorkerState.RUNNING}
+        self.weights, self.listed_us = sum([w.entry.weight for w in listed]) or 1.0, self.now
         lost = {zone.name for zone in self.zones.values() if zone.lost}
         self.index.update([w for w in listed if w.entry.zone not in lost] or listed)
 
@@ -548,9 +549,8 @@
             zone.probe_us = self.now + LOST_PROBE_US
             there = [w for w in self.workers.values() if w.entry.zone == zone.name and self.running(w)]
             if there: self.out.append(api.Probe(self.random.choice(there).entry.worker))
-        draining = {name for name, w in self.workers.items() if not self.running(w)}
-        for row in [*self.lists[CACHING].values(), *self.lists[MULTIPLE].values()] if draining else []:
-            if row.home in draining: self.move(row)
+        for row in [*self.lists[CACHING].values(), *self.lists[MULTIPLE].values()] if self.draining else []:
+            if row.home in self.draining: self.move(row)
         for row in self.lists[CACHING].values():
             w = self.workers.get(row.home)  # what others use is theirs to keep: forty routers renewed it
             if w is None or row.copy(w).busy or not self.is_warm(row, w) or self.used_by_others(row): continue
--- a/maplestile/explore/fingerprint.py
+++ b/maplestile/explore/fingerprint.py
@@ -23,7 +23,7 @@
            "move", "may_probe", "probed", "admits", "sent", "epochs", "decided", "timers", "ticks", "number",
            "armed", "events", "acting"},
     Dispatcher: {"set", "out", "classes", "random", "salt", "timers", "token", "now", "memory", "index",
-                 "oldest"},
+                 "oldest", "draining"},
     Row: {"salt", "head", "seen", "settled"}, Worker: {"salt"}, Call: {"rules", "kind"},
     Pool: {"limits", "clock", "counters", "move", "core", "world", "calls_written", "all"},
     Runner: {"connections"}, Message: {"line", "request"},
--- a/maplestile/limits.py
+++ b/maplestile/limits.py
@@ -20,6 +20,7 @@
     # For a whole message, from the connect or from its first byte: half of what a client waits for a word.
     client_message_us: int = 1_500_000
     client_grace_us: int = 200_000  # for a new connection to ask before it may have to make room
+    client_silent_us: int = 1_000_000  # and before it goes ahead of those that asked, whose request is over
     client_unfinished_us: int = 750_000  # for the rest of a message, before it may have to make room
     client_surplus: int = 16  # connections over the cap, whose first request is refused
     client_faults: int = 64  # messages that cannot be used, on one connection: its client will not learn
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -313,17 +313,20 @@
 
     def _dispensable(self) -> list[Client]:
         """Those without an open request, the first to go first: those that this side has ended; those that
-        had their time to ask and never did; those that asked once; those that come back (a segmented LRU, so
-        that a crowd of strangers does not put out the clients in use); newcomers. In each the one silent
-        longest goes first."""
-        since_us = self.core.clock() - self.limits.client_grace_us
+        have not asked for long; those that asked once; those that had a short time to ask; those that come
+        back (a segmented LRU, so that a crowd of strangers does not put out the clients in use); newcomers.
+        In each the one silent longest goes first."""
+        now = self.core.clock()
 
         def rank(client: Client) -> int:
             if client.parted:
                 return 0
             if client.asked:
-                return 2 if client.asked == 1 else 3
-            return 1 if client.since_us < since_us else 4
+                return 2 if client.asked == 1 else 4
+            silent_us = now - client.since_us
+            if silent_us > self.limits.client_silent_us:
+                return 1
+            return 3 if silent_us > self.limits.client_grace_us else 5
 
         return sorted((client for client in self.clients if not client.calls), key=rank)
 
--- a/maplestile/ranking.py
+++ b/maplestile/ranking.py
@@ -14,15 +14,16 @@
 from dataclasses import dataclass, field
 from typing import Generic, NamedTuple, Protocol, TypeVar
 
-from maplestile.hashing import BITS, SPREADER, mixed
+from maplestile.hashing import BITS, mixed
+from maplestile.packed import Lanes
 
 SPARE = 8  # workers held past twice as many as are asked for: so many may leave before a new pass
 GUESS = 3.0  # how many times as many as are wanted a pass looks for: too few cost a second pass
-WEIGHTS_MOST = 16  # distinct weights up to which a pass compares whole numbers
+WEIGHTS_MOST = 16  # distinct weights up to which a pass goes by lanes
 CHANGES_KEPT = 8_192  # of workers; a ranking that has not been used for longer is made anew
 CHANGE_COST = 4  # changes that cost about as much as a look at so many workers in a pass
 LEAST_WEIGHT = 1e-6
-UNIT, MASK = 1 << BITS, (1 << BITS) - 1
+UNIT = 1 << BITS
 ROUNDING = 1 - 1e-9  # a bound that came of a product of floats is lowered by this
 
 
@@ -83,7 +84,7 @@
         self.weights: dict[W, float] = {}
         self.changes: list[Change[W]] = []
         self.dropped = 0  # changes that are no longer held
-        self.groups: dict[float, list[tuple[int, W]]] | None = None  # by weight; none until a pass wants them
+        self.groups: dict[float, Lanes[W]] = {}  # by weight
         self.passes = 0  # over all workers, as a figure
 
     def __len__(self) -> int:
@@ -101,8 +102,11 @@
         came = [worker for worker, weight in now.items() if self.weights.get(worker) != weight]
         self.changes += [Change(worker, 0.0) for worker in left]
         self.changes += [Change(worker, now[worker]) for worker in came]
-        if left or came:
-            self.weights, self.groups = now, None
+        for worker in left:
+            self._leave(worker)
+        for worker in came:
+            self.groups.setdefault(now[worker], Lanes()).add(worker, worker.salt)
+        self.weights = now
         if (surplus := len(self.changes) - CHANGES_KEPT) > 0:
             del self.changes[:surplus]
             self.dropped += surplus
@@ -128,7 +132,7 @@
     def _make(self, ranking: Ranking[W], wanted: int) -> None:
         self.passes += 1
         ranking.seen, most = self.version, 2 * wanted + SPARE
-        if most >= len(self.weights) or len(self._by_weight()) > WEIGHTS_MOST:
+        if most >= len(self.weights) or len(self.groups) > WEIGHTS_MOST:
             found = self._least(ranking.salt, most)
             bound = math.inf
         else:
@@ -149,21 +153,19 @@
 
     def _under_guess(self, salt: int, most: int) -> tuple[list[tuple[float, W]], float]:
         """All under a bound that about `GUESS` times as many as wanted are under, or a greater one."""
-        groups = self._by_weight()
-        bound = GUESS * most / sum(weight * len(group) for weight, group in groups.items())
+        bound = GUESS * most / sum(weight * len(group) for weight, group in self.groups.items())
         while True:
             found = list[tuple[float, W]]()
-            for weight, group in groups.items():
-                limit = min(UNIT, int(bound * weight * UNIT))
-                under = [worker for other, worker in group if (salt ^ other) * SPREADER & MASK < limit]
-                found += [(mixed(salt, worker.salt) / weight, worker) for worker in under]
+            for weight, group in self.groups.items():
+                under = group.under(salt, min(UNIT, int(bound * weight * UNIT)))
+                keyed = ((mixed(salt, worker.salt) / weight, worker) for worker in under)
+                found += [pair for pair in keyed if pair[0] < bound]
             if len(found) >= most:
                 return sorted(found, key=lambda pair: pair[0]), bound * ROUNDING
             bound *= 4
 
-    def _by_weight(self) -> dict[float, list[tuple[int, W]]]:
-        if self.groups is None:
-            self.groups = {}
-            for worker, weight in self.weights.items():
-                self.groups.setdefault(weight, []).append((worker.salt, worker))
-        return self.groups
+    def _leave(self, worker: W) -> None:
+        weight = self.weights[worker]
+        self.groups[weight].remove(worker)
+        if not self.groups[weight]:
+            del self.groups[weight]
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -132,6 +132,29 @@
             while not self.rig.core.open:
                 await asyncio.sleep(0.005)
 
+    async def test_connection_that_is_yet_to_ask_outlives_one_that_asked_once(self) -> None:
+        """A request that is on its way met a close after 0.2 s, though others only stayed."""
+        reader, writer = await self.connect()
+        writer.write(framed(b'{"id":1,"method":"check"}'))
+        await self.answer(reader)
+        late, late_writer = await self.connect()
+        async with asyncio.timeout(20):
+            while len(self.front.clients) < 2:
+                await asyncio.sleep(0.005)
+        self.rig.now += LIMITS.client_grace_us + 1
+        self.assertTrue(self.front.make_room())
+        self.assertTrue(await self.closed(reader))
+        late_writer.write(framed(b'{"id":2,"method":"check"}'))
+        self.assertEqual((await self.answer(late))["id"], 2)
+        await self.connect()
+        async with asyncio.timeout(20):
+            while len(self.front.clients) < 2:
+                await asyncio.sleep(0.005)
+        self.rig.now += LIMITS.client_silent_us + 1
+        self.assertTrue(self.front.make_room())  # the one that never asked, and has had its time
+        late_writer.write(framed(b'{"id":3,"method":"check"}'))
+        self.assertEqual((await self.answer(late))["id"], 3)
+
     async def test_client_that_comes_back_stays_and_strangers_that_asked_once_make_room(self) -> None:
         """A crowd that asks once and stays put out each client in use, whose requests crossed the close."""
         reader, writer = await self.connect()
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -11,7 +11,7 @@
 ALLOWED = {"maplestile", "maplestile.interface", "maplestile.state", "collections.abc"}
 ALLOWED |= {"math", "random", "maplestile.hashing"}  # random is seeded with the dispatcher's own seed
 # What it stands on, which decides nothing, and is held to the same.
-INDEXES = [ROOT / "maplestile" / f"{name}.py" for name in ("listing", "ranking", "recency")]
+INDEXES = [ROOT / "maplestile" / f"{name}.py" for name in ("listing", "packed", "ranking", "recency")]
 ALLOWED |= {f"maplestile.{file.stem}" for file in INDEXES}
 PLAIN = {"heapq", "bisect", "itertools", "dataclasses", "typing"}
 
