--- a/maplestile/packed.py
+++ b/maplestile/packed.py
@@ -1,8 +1,8 @@
 """The hashes of many workers in one whole number, so that one product ranks them all for a function.
 
-Each hash has a lane of 128 bits, in which `(salt ^ hash) * SPREADER` cannot overflow into the next. The eighth
-byte of a lane is the first of the product modulo 2**64, so bytes alone tell which lanes may lie under a limit:
-a pass over all workers costs a few operations on long numbers in place of some on each worker."""
+Each hash has a lane of 128 bits, in which `(salt ^ hash) * SPREADER` cannot overflow into the next. The
+eighth byte of a lane is the first of the product modulo 2**64, so bytes alone tell which lanes may lie under
+a limit: a pass over all workers costs a few operations on long numbers in place of some on each worker."""
 
 from typing import Generic, TypeVar
 
