--- a/benchmarks/data_path.py
+++ b/benchmarks/data_path.py
@@ -4,6 +4,7 @@
 list of workers changes once each 126 calls: one worker goes, another comes, and the whole list is told."""
 
 import heapq
+import sys
 import time
 import tracemalloc
 from collections.abc import Sequence
@@ -148,6 +149,7 @@
     worst = Series("arrival p99", "workers", "µs")
     memory = Series("function", "workers", "bytes")
     for workers, functions in sizes[:2] if small else sizes:
+        print(f"  {workers} workers, {functions} functions …", file=sys.stderr, flush=True)
         cost = measure(workers, functions, 500 if small else 6_000)
         call.add(workers, cost.call_us)
         whole.add(workers, cost.list_us)
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -34,6 +34,7 @@
     spent = Series("membership processor time", "members", "ms a member and second")
     memory = Series("membership memory", "members", "KB a member")
     for members in sizes:
+        print(f"  {members} members …", file=sys.stderr, flush=True)
         try:
             use, member_kb = asyncio.run(measure(members, seconds, period_us))
         except TimeoutError as fault:
