Bound the memory of the recency index, and assume other calls at a cold worker

Change: the heap drops what stands no more as it grows; the log of list changes keeps no more than a ranking may use. Change: five other calls are assumed.

--- a/maplestile/decide.py
+++ b/maplestile/decide.py
@@ -20,7 +20,7 @@
 PAUSE_TICKS, HELD_SERVICES, HELD_LOADS = 4, 0.2, 0.01  # till a held call's next try: parts of what it awaits
 SERVICE_AIMS, LOAD_AIMS = 0.25, 1.0  # of the aim: service and load times until some were seen
 LEARN = 0.2  # share of a new sample in every running mean: about the last ten samples count
-HEAT_KEEPS, PRIOR_CALLS = 1.5, 15.0  # keep-alives in which heat halves; other calls assumed at the start
+HEAT_KEEPS, PRIOR_CALLS, COLD_PRIOR = 1.5, 15.0, 5.0  # till heat halves; other calls assumed, at cold ones
 SEAT, SEAT_FILL = 0.33, 0.5  # a function's most at a seat: of a mean worker's load, of the lanes by the fleet
 NEAR, OVERFLOW, CHOICES = 8, 2, 3  # workers looked at when no drawn seat fits, past the seats; seats drawn
 PRESUMED = 2.0  # calls of the other dispatchers expected at a seat in one keep-alive, to presume a copy there
@@ -112,8 +112,8 @@
         elif row.place == CACHING: self.oldest[CACHING].called(row)
 
     def rises(self, row: Row, place: int) -> bool:
-        there, full = len(self.lists[place]), len(self.lists[place]) >= self.capacity
-        worst = self.oldest[place].first(there) if full or place == CACHING else None
+        full = len(self.lists[place]) >= self.capacity
+        worst = self.oldest[place].first() if full or place == CACHING else None
         if worst is not None and row.aged() >= worst.aged(): return False
         self.settle(row, place)
         if full and worst is not None and not (place == CACHING and self.rises(worst, MULTIPLE)):
@@ -298,7 +298,8 @@
         if self.now < paused_us or not room: return False
         twice = call.outstanding() and not call.rules.may_duplicate
         if call.attempts and (twice or not self.repeatable(call, worker)): return False
-        least = min(1.0, row.width * self.heat * worker.entry.weight / (self.weights * row.heat))
+        least = row.width * (self.heat + COLD_PRIOR * row.service_us) / row.heat
+        least = min(1.0, least * worker.entry.weight / self.weights)
         return self.ramp_allows(worker, call.rules, math.inf if call.attempts else row.service_us, least)
 
     def repeatable(self, call: Call, worker: Worker) -> bool:
--- a/maplestile/ranking.py
+++ b/maplestile/ranking.py
@@ -20,8 +20,7 @@
 SPARE = 8  # workers held past twice as many as are asked for: so many may leave before a new pass
 GUESS = 3.0  # how many times as many as are wanted a pass looks for: too few cost a second pass
 WEIGHTS_MOST = 16  # distinct weights up to which a pass goes by lanes
-CHANGES_KEPT = 8_192  # of workers; a ranking that has not been used for longer is made anew
-CHANGE_COST = 4  # changes that cost about as much as a look at so many workers in a pass
+CHANGE_COST = 4  # a change costs about as much as a pass's look at so many workers; more are not kept
 LEAST_WEIGHT = 1e-6
 UNIT = 1 << BITS
 ROUNDING = 1 - 1e-9  # a bound that came of a product of floats is lowered by this
@@ -107,7 +106,8 @@
         for worker in came:
             self.groups.setdefault(now[worker], Lanes()).add(worker, worker.salt)
         self.weights = now
-        if (surplus := len(self.changes) - CHANGES_KEPT) > 0:
+        # Also guards memory: the log holds workers that are no more.
+        if (surplus := len(self.changes) - len(self.weights) // CHANGE_COST) > 0:
             del self.changes[:surplus]
             self.dropped += surplus
 
--- a/maplestile/recency.py
+++ b/maplestile/recency.py
@@ -27,6 +27,7 @@
 
     def __init__(self, place: int) -> None:
         self.place = place
+        self.most = LEAST  # entries before those that stand no more are dropped
         self.heap: list[tuple[int, int, int, R]] = []
         self.numbers = count()
 
@@ -38,12 +39,13 @@
     def called(self, row: R) -> None:
         """Its age has changed where it stands."""
         heapq.heappush(self.heap, (-row.aged(), row.settled, next(self.numbers), row))
-
-    def first(self, rows: int) -> R | None:
-        """The greatest of the list's rows, of which there are so many."""
-        if len(self.heap) > STALE_MOST * rows + LEAST:
+        if len(self.heap) > self.most:  # guards memory: nobody may ask for the first for a long time
             self.heap = [entry for entry in self.heap if self._stands(entry)]
             heapq.heapify(self.heap)
+            self.most = STALE_MOST * len(self.heap) + LEAST
+
+    def first(self) -> R | None:
+        """The greatest of the list's rows."""
         while self.heap and not self._stands(self.heap[0]):
             heapq.heappop(self.heap)
         return self.heap[0][3] if self.heap else None
