--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -240,6 +240,23 @@
         await self.until(2)
         self.assertEqual((self.ends.ended[2, 0], len(self.worker.ran)), (Result.ERROR, 2))
 
+    async def test_line_that_a_runner_does_not_take_goes_nowhere_else_and_ends_its_connection(self) -> None:
+        """It would come too late for the deadline that it tells; another connection would be filled, too."""
+        self.pool.limits = replace(self.pool.limits, runner_streams=8)
+        self.send(1, b"hang:")
+        async with asyncio.timeout(20):
+            while not self.worker.ran:
+                await asyncio.sleep(0.005)
+        self.worker.pause.clear()
+        big = Request("t2", "f", "review", 5_000_000, body=bytes(30_000_000))
+        self.pool.send((2, 0), "s-0", big, 5_000_000)
+        self.send(3, b"abc")  # behind it
+        await self.until(1, 2, 3)
+        never_ran = Result.CONNECT_FAILED
+        self.assertEqual(self.ends.ended, {(1, 0): Result.RESET, (2, 0): never_ran, (3, 0): never_ran})
+        self.assertEqual((self.counters["runners.stalled"], self.pool.connections), (1, 0))
+        self.worker.pause.set()
+
     async def test_silent_connection_carries_nothing_new_until_it_is_heard(self) -> None:
         self.send(1, b"hang:")
         async with asyncio.timeout(20):
