--- a/benchmarks/agreed_reads.py
+++ b/benchmarks/agreed_reads.py
@@ -13,10 +13,10 @@
 from typing import Any
 
 from benchmarks.fit import Series
-from benchmarks.sockets import free_ports
 from maplestile.control.decide import Rules
 from maplestile.control.plan import ControlPlan, Voter
 from maplestile.net.raft import LogError, Raft
+from tests.fleet import free_ports
 
 VOTERS, SECONDS = 3, 6.0
 AGENTS = (5, 15, 30, 60)  # with a router each
--- a/benchmarks/name_lists.py
+++ b/benchmarks/name_lists.py
@@ -15,23 +15,16 @@
 from maplestile.fleet import Fleet
 from maplestile.limits import Limits
 from maplestile.net.names import LIST_NAME, Names
+from maplestile.wire.dns import SOA, SRV, TXT, A
+from tests.standins import name_bytes, record
 
 ANSWER_BYTES = 8_000
 SIZES = (20, 40, 80, 140)
 SECONDS, CHANGE_S = 5.0, 1.0
 HEADER_BYTES = 28  # IPv4 and UDP
-A, TXT, SRV, SOA = 1, 16, 33, 6
 POINTER = b"\xc0\x0c"  # to the question's name
 
 
-def name_bytes(name: str) -> bytes:
-    return b"".join(bytes([len(part)]) + part.encode() for part in name.split(".")) + b"\0"
-
-
-def record(name: bytes, kind: int, data: bytes) -> bytes:
-    return name + struct.pack("!HHIH", kind, 1, 0, len(data)) + data
-
-
 def host_of(number: int) -> str:
     return f"s-{number:08x}.zone-{number % 12}.hosts"
 
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -9,8 +9,9 @@
 from benchmarks.data_path import Router
 from benchmarks.fit import Series, fit
 from benchmarks.hollow import HollowFleet
-from benchmarks.name_lists import ANSWER_BYTES, NameServer, most_listed, name_bytes
+from benchmarks.name_lists import ANSWER_BYTES, NameServer, most_listed
 from benchmarks.policy_changes import plan, played
+from tests.standins import name_bytes
 
 PERIOD_US = 100_000
 
