--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 HOST = "127.0.0.1"
+OK = 200
 
 
 @dataclass(frozen=True)
