--- a/review/1/app.py
+++ b/review/1/app.py
@@ -17,6 +17,7 @@
 POLLRDHUP = 0x2000  # the other side has ended its side of the connection (Linux)
 PACE_S = 0.004
 ANSWER_S = 1.5
+SILENCE_MS = 30_000  # it ends by itself if nothing happens for so long
 
 
 def request() -> bytes:
@@ -48,7 +49,10 @@
         poll.register(sock, POLLRDHUP if leaves else select.POLLIN)
     by_descriptor = {sock.fileno(): sock for sock in sockets}
     while by_descriptor:
-        for descriptor, _ in poll.poll():
+        events = poll.poll(SILENCE_MS)
+        if not events:
+            return
+        for descriptor, _ in events:
             if leaves:
                 for sock in sockets:
                     sock.close()
--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,7 +18,7 @@
 RESTARTS = 12  # at most; the case ends after the first restart that breaks the rule
 RUNNERS = 4
 USERS = 10
-APP_CONNECTIONS = 200  # with those of the users under a third of the 1,024 descriptors
+APP_CONNECTIONS = 300  # with those of the users under a third of the 1,024 descriptors
 LIMIT_S = 5.0
 WARM, COLD = "00000000000000a1", "00000000000000b2"  # functions: a copy stands loaded, or has to be loaded
 WARM_S, COLD_S = (0.05, 0.1), (1.8, 2.6)
@@ -53,6 +53,17 @@
 
 async def restart(record: Record, router: Program, port: int) -> tuple[list[Request], float]:
     """Have clients call while the router stops; return the users' requests, and when the process ended."""
+    app = await start_app(port)
+    try:
+        return await stop_under_calls(record, router, port)
+    finally:
+        if app.returncode is None:
+            app.kill()
+        await app.wait()
+
+
+async def start_app(port: int) -> asyncio.subprocess.Process:
+    """Start the client program, and return once it has asked on all its connections."""
     app = await asyncio.create_subprocess_exec(
         sys.executable,
         str(FOLDER / "app.py"),
@@ -64,6 +75,11 @@
     assert app.stdout is not None
     if await app.stdout.readline() != b"up\n":
         raise CouldNotRun("the client program did not come up")
+    return app
+
+
+async def stop_under_calls(record: Record, router: Program, port: int) -> tuple[list[Request], float]:
+    """Have the users call and the platform stop the router; see `restart`."""
     users = [await Connection(f"user {number}", record, port).connect() for number in range(USERS)]
     first = [user.send("review", WARM, b"first", LIMIT_S) for user in users]
     await asyncio.gather(*(request.done.wait() for request in first))
@@ -82,9 +98,6 @@
     await asyncio.sleep(0.2)  # for what was written before the end of the process
     for user in users:
         user.close()
-    if app.returncode is None:
-        app.kill()
-    await app.wait()
     return requests, ended_s
 
 
--- a/review/standins/record.py
+++ b/review/standins/record.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import time
 from collections.abc import Awaitable, Callable
@@ -50,12 +51,16 @@
     record = Record(folder)
 
     async def play_in_time() -> list[str]:
+        task = asyncio.current_task()
+        assert task is not None
+        # A case that is ended from outside still ends the processes that it started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(CASE_S):
             return await play(record)
 
     try:
         broken = asyncio.run(play_in_time())
-    except (CouldNotRun, OSError, TimeoutError) as error:
+    except (CouldNotRun, OSError, TimeoutError, asyncio.CancelledError) as error:
         text = f"the case could not run: {type(error).__name__}: {error}"
         record.write(text)
         record.file.close()
