--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,6 +14,7 @@
 from standins.runners import Answer, Call, Runner
 
 FOLDER = Path(__file__).resolve().parent
+RECORD = FOLDER / "record.txt"  # what was sent, answered and run
 RULE = "lost"
 RESTARTS = 12  # at most; the case ends after the first restart that breaks the rule
 ENOUGH_S = 85.0  # after which no further restart begins
@@ -55,17 +56,25 @@
 async def restart(record: Record, router: Program, port: int) -> tuple[list[Request], float]:
     """Have clients call while the router stops; return the users' requests, and when the process ended."""
     app = await start_app(port)
+    assert app.stdout is not None
     try:
+        if await app.stdout.readline() != b"up\n":
+            raise CouldNotRun("the client program did not come up")
+        record.write(
+            f"client program: has an answer on each of {APP_CONNECTIONS} connections, and reads none"
+        )
         return await stop_under_calls(record, router, port)
     finally:
         if app.returncode is None:
             app.kill()
+        said = (await app.stdout.read()).decode().strip()
         await app.wait()
+        record.write(f"client program: ended; it said {said!r}")
 
 
 async def start_app(port: int) -> asyncio.subprocess.Process:
-    """Start the client program, and return once it has asked on all its connections."""
-    app = await asyncio.create_subprocess_exec(
+    """Start the client program."""
+    return await asyncio.create_subprocess_exec(
         sys.executable,
         str(FOLDER / "app.py"),
         str(port),
@@ -73,10 +82,6 @@
         "leaves" if has_trouble() else "stays",
         stdout=asyncio.subprocess.PIPE,
     )
-    assert app.stdout is not None
-    if await app.stdout.readline() != b"up\n":
-        raise CouldNotRun("the client program did not come up")
-    return app
 
 
 async def stop_under_calls(record: Record, router: Program, port: int) -> tuple[list[Request], float]:
@@ -117,4 +122,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, RULE, play))
+    sys.exit(run_case(RECORD, RULE, play))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,6 +12,7 @@
 from standins.runners import Answer, Call, Runner
 
 FOLDER = Path(__file__).resolve().parent
+RECORD = FOLDER / "record.txt"  # what was sent, answered and run
 RULE = "lost"
 ROUNDS = 30
 RUNNERS = 4
@@ -61,4 +62,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, RULE, play))
+    sys.exit(run_case(RECORD, RULE, play))
--- a/review/standins/record.py
+++ b/review/standins/record.py
@@ -18,11 +18,11 @@
 
 
 class Record:
-    """The record of one run of a case: `record.txt` in the folder of the case."""
+    """The record of one run of a case, in the file that the case names."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, path: Path) -> None:
         self.started_s = time.time()
-        self.file = (folder / "record.txt").open("w", encoding="utf-8")
+        self.file = path.open("w", encoding="utf-8")
         self.write(f"started at Unix time {self.started_s:.3f}; the times are seconds from then on")
 
     def write(self, text: str) -> None:
@@ -46,9 +46,9 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def run_case(folder: Path, rule: str, play: Callable[[Record], Awaitable[list[str]]]) -> int:
+def run_case(record_path: Path, rule: str, play: Callable[[Record], Awaitable[list[str]]]) -> int:
     """Play a case, which returns how the rule was broken; return the exit code of the script."""
-    record = Record(folder)
+    record = Record(record_path)
 
     async def play_in_time() -> list[str]:
         task = asyncio.current_task()
