Log a failure while serving with its traceback, not as a failed start

Cause: an error that reached the main program while the router served was logged as "the router cannot start: OSError: [Errno 107] ...", without its place.

Change: once a front listens, any error that ends the process is logged as "NAME failed while it was serving" with its traceback, and the counters are printed. Failed starts are logged as before. The exit code stays 1.

--- a/maplestile/router/process.py
+++ b/maplestile/router/process.py
@@ -167,18 +167,29 @@
         selector = TimestampingSelector(clock)
         loop: asyncio.AbstractEventLoop = asyncio.SelectorEventLoop(selector)
         with asyncio.Runner(loop_factory=lambda: loop) as runner:
-            runner.run(_run_process(load_config, selector, policy))
+            return runner.run(_run_process(load_config, selector, policy))
     except (ConfigError, OSError) as error:
         _log_failed_start(error)
         return 1
-    return 0
 
 
 async def _run_process(
     load_config: Callable[[], Config], selector: TimestampingSelector, policy: "PolicyDriver | None"
-) -> None:
-    """Build the process in the running event loop, and run it. Raises ConfigError or OSError."""
-    await RouterProcess(load_config, selector, policy).run()
+) -> int:
+    """Build the process in the running event loop, run it, and return its exit code.
+
+    Raises ConfigError or OSError if it cannot start.
+    """
+    process = RouterProcess(load_config, selector, policy)
+    try:
+        await process.run()
+    except Exception:
+        if not process.components.is_listening:
+            raise
+        log.exception("%s failed while it was serving", process.components.name)
+        process.print_counters()
+        return 1
+    return 0
 
 
 def _log_failed_start(error: Exception) -> None:
