A client's reset ends its own connection alone, not a draining router

Cause: GracefulClose._close_if_idle half-closes each idle client connection. If the client has reset one and the event loop has not read the reset yet, the kernel rejects the half-close with ENOTCONN. Nothing up to the main program handles it.

Change: half_close.close_write_side closes such a connection completely, logs a warning and returns False; the front counts it in clients.reset_before_close.

--- a/maplestile/net/graceful_close.py
+++ b/maplestile/net/graceful_close.py
@@ -6,6 +6,7 @@
 
 from maplestile.net.client import Client
 from maplestile.net.client_table import ClientTable
+from maplestile.net.half_close import close_write_side
 
 
 class GracefulClose:
@@ -49,7 +50,8 @@
             return
         if self.ignoring_input or self._is_idle(client, idle_us):
             client.write_closed = True
-            client.writer.write_eof()
+            if not close_write_side(client.writer, "platform"):
+                self.table.counters["clients.reset_before_close"] += 1
 
     def _is_idle(self, client: Client, idle_us: int) -> bool:
         if client.has_unhandled_input():
