A caller's reset ends its own connection alone, not a router that closes its HTTP front

HttpConnection.close_write half-closes each idle or incomplete connection at the end of a drain, and ENOTCONN of one that its caller had reset reached the main program through HttpFront.close_gracefully: the remaining connections stayed open, and the process exited with 1.

The loop over the connections is a method of its own, close_idle_connections.

Test: HttpResetTest::test_reset_before_graceful_close_ends_that_connection_alone failed before the change with OSError: [Errno 107]. test_reset_connections and test_http: 5 passed.

--- a/maplestile/net/http.py
+++ b/maplestile/net/http.py
@@ -52,9 +52,13 @@
         await listener.accept_queued_and_close(CLOSE_GRACE_S)
         await asyncio.sleep(CLOSE_GRACE_S)  # so that the connections just accepted are read
         await self._wait_until_idle()
+        self.close_idle_connections()
+        await self._wait_until_closed()
+
+    def close_idle_connections(self) -> None:
+        """Close the write side of each connection that has no complete request."""
         for connection in (*self.state.idle, *self.state.receiving):
             connection.close_write()
-        await self._wait_until_closed()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         state = self.state
--- a/maplestile/net/http_connection.py
+++ b/maplestile/net/http_connection.py
@@ -9,6 +9,7 @@
 import h11
 
 from maplestile.net import bounded_reads
+from maplestile.net.half_close import close_write_side
 from maplestile.wire.http import Application, FrontLimits, HttpRequest, Response, problem
 
 log = logging.getLogger("maplestile.net.http")
@@ -101,7 +102,8 @@
     def close_write(self) -> None:
         """Close the write side of the connection; a request that crosses the close is not handled."""
         self.write_closed = True
-        self.writer.write_eof()
+        if not close_write_side(self.writer, self.front.name):
+            self.front.count("reset_before_close")
 
     async def _read_request(self) -> HttpRequest | None:
         """Return the next request, or None if the client has closed the connection.
--- a/tests/test_reset_connections.py
+++ b/tests/test_reset_connections.py
@@ -7,10 +7,15 @@
 import select
 import socket
 import struct
+import unittest
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
+from types import SimpleNamespace
 from typing import cast
 
+from maplestile.net.http import HttpFront
+from maplestile.wire.http import Application, FrontLimits
 from tests.front_fixture import CALL_FRAME, FrontTestCase
 from tests.standins import PATIENCE_S, wait_until
 
@@ -71,3 +76,28 @@
         self.answer_attempt()  # the client's system answers with a reset, at once
         self.assertEqual(self.harness.core.open, {})
         await self.wait_until_disconnected()
+
+
+class HttpResetTest(unittest.IsolatedAsyncioTestCase):
+    """Resets at an HTTP front while it closes its connections."""
+
+    async def test_reset_before_graceful_close_ends_that_connection_alone(self) -> None:
+        """Guards against ENOTCONN of one half-close ending a router while its invoke front closes."""
+        counters = Counter[str]()
+        api = SimpleNamespace(bounds=FrontLimits(4, 60.0, 10_000_000, 100, 100_000, 16))
+        http = HttpFront("invoke", cast(Application, api), counters, lambda: 0)
+        server = await http.start("127.0.0.1", 0)
+        resetting = socket.create_connection(server.address)
+        await wait_until(lambda: len(http.state.idle) == 1)
+        reader, writer = await asyncio.open_connection(*server.address)
+        await wait_until(lambda: len(http.state.idle) == 2)
+        reset(resetting, server_socket(next(iter(http.state.idle)).writer))
+        with self.assertLogs("maplestile.net", "WARNING") as logs:
+            http.close_idle_connections()
+        self.assertIn("reset its connection before the router closed it", logs.output[0])
+        self.assertEqual(counters["invoke.reset_before_close"], 1)
+        async with asyncio.timeout(PATIENCE_S):
+            self.assertEqual(await reader.read(), b"")
+            writer.close()
+            await http.close_gracefully(server)
+        self.assertEqual(http.connections, 0)
