An eviction no longer fails on a connection whose socket is closed already

Cause: a lost connection stays in the client table until its reading task runs, one iteration of the event loop after the transport has closed the socket. Client.unread_input_bytes then passes the descriptor -1 to ioctl, which raises ValueError, not the OSError that is suppressed there. The error came out of evict_idle: into the task of a new connection at the limit, which was closed unanswered; into a reload, a query of the name server or a connection to a runner that lacked a descriptor; and into Listener.accept_queued_and_close, where it ended a draining process. Found by reading, while looking for other calls on sockets that a client may have reset.

Change: the kernel is not asked about a socket that is closed.

Test: test_evicts_past_connection_whose_socket_is_closed_already failed before the change with "ValueError: file descriptor cannot be a negative integer (-1)". test_front_eviction, test_front_unread and test_front pass.

--- a/maplestile/net/client.py
+++ b/maplestile/net/client.py
@@ -41,8 +41,10 @@
     def unread_input_bytes(self) -> int:
         """Return how many bytes of input are unread, in the stream reader and in the socket."""
         in_socket = array.array("i", [0])
-        with contextlib.suppress(OSError):  # connection lost, or FIONREAD not supported
-            fcntl.ioctl(self.writer.get_extra_info("socket").fileno(), termios.FIONREAD, in_socket)
+        descriptor = self.writer.get_extra_info("socket").fileno()
+        if descriptor >= 0:  # negative once the socket is closed, which the reading task may not know yet
+            with contextlib.suppress(OSError):  # connection lost, or FIONREAD not supported
+                fcntl.ioctl(descriptor, termios.FIONREAD, in_socket)
         return self.reader.buffered_bytes + in_socket[0]
 
     def unsent_bytes(self, now_us: int) -> int:
--- a/tests/test_front_eviction.py
+++ b/tests/test_front_eviction.py
@@ -1,5 +1,7 @@
 """Tests of eviction at the platform front: which connection is closed for a new one at the limit."""
 
+import asyncio
+
 from maplestile.net.client_reader import ClientReader
 from maplestile.wire.jsonrpc import REFUSED
 from tests.front_fixture import (
@@ -132,3 +134,17 @@
         accepted.reader.feed_data(CALL_FRAME)  # read before the close, handled after it
         await self.front._read_all(accepted)
         self.assertEqual(self.harness.core.counters["requests.taken"], 0)
+
+    async def test_evicts_past_connection_whose_socket_is_closed_already(self) -> None:
+        """Guards against an eviction failing on a lost connection whose reading task has not run yet.
+
+        The error reached the new connection, or a drain that needed the descriptor, and so the process.
+        """
+        for client in [await self.connect() for _ in range(2)]:
+            await client.check()
+        lost, idle = self.front.clients
+        lost.writer.transport.abort()
+        await asyncio.sleep(0)  # the transport closes the socket; the reading task runs next
+        self.assertEqual(lost.writer.get_extra_info("socket").fileno(), -1)
+        self.assertTrue(self.front.evict_idle())
+        self.assertEqual(list(self.front.clients), [idle])
