An accepted connection that fails ends alone, not the drain that accepts it

Cause: Listener.accept_queued_and_close took every OSError of an accept for a lack of descriptors, and evicted an idle client for it, also where the kernel reported an error of one queued connection (ECONNABORTED, EPROTO). An OSError while an accepted socket was handed to the event loop came out of the drain and ended the process. Found by reading; no run of the program showed it, since Linux returns connections that were reset in the queue.

Change: only EMFILE, ENFILE, ENOBUFS and ENOMEM free a descriptor. All other errors, of the accept or of the accepted socket, close that connection alone, count it in listeners.failed_connections and log a warning.

--- a/maplestile/net/http.py
+++ b/maplestile/net/http.py
@@ -36,7 +36,9 @@
     async def start(self, host: str, port: int) -> Listener:
         """Listen on an address and accept connections. Raises OSError if the address cannot be bound."""
         accept_burst = self.state.bounds.accept_burst
-        return await listen(host, port, self._serve, _new_reader, accept_burst, ACCEPT_QUEUE_SIZE)
+        return await listen(
+            host, port, self._serve, _new_reader, accept_burst, ACCEPT_QUEUE_SIZE, self.state.counters
+        )
 
     def start_draining(self) -> None:
         """Close each connection after its next response, so that its client connects to another router."""
--- a/maplestile/net/listen.py
+++ b/maplestile/net/listen.py
@@ -1,23 +1,39 @@
 """Opens the listening sockets of the fronts, and closes them without losing queued connections."""
 
 import asyncio
+import errno
+import logging
 import socket
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from maplestile.net import bounded_reads
+
 ReaderFactory = Callable[[], asyncio.StreamReader]
 # Serves one connection; the first argument is the reader that the `ReaderFactory` returned.
 ConnectionHandler = Callable[[Any, asyncio.StreamWriter], Awaitable[None]]
-ACCEPT_RETRY_S = 0.01  # after an accept that failed for lack of a file descriptor
+ACCEPT_RETRY_S = 0.01  # after an accept that failed
+# Errors of an accept that last until something is freed; all others concern one queued connection.
+OUT_OF_RESOURCES = (*bounded_reads.NO_DESCRIPTOR, errno.ENOBUFS, errno.ENOMEM)
+
+log = logging.getLogger(__name__)
 
 
 class Listener:
     """A listening socket, with the handler of the connections that it accepts."""
 
-    def __init__(self, listener: socket.socket, serve: ConnectionHandler, new_reader: ReaderFactory) -> None:
+    def __init__(
+        self,
+        listener: socket.socket,
+        serve: ConnectionHandler,
+        new_reader: ReaderFactory,
+        counters: Counter[str],
+    ) -> None:
         self.socket = listener
         self.serve = serve
         self.new_reader = new_reader
+        self.counters = counters
         self.server: asyncio.Server | None = None
 
     def new_protocol(self) -> asyncio.StreamReaderProtocol:
@@ -41,8 +57,9 @@
         """Accept every connection in the accept queue, and close the socket once the queue is empty.
 
         Closing a socket resets the connections that are still queued. If no file descriptor is free,
-        `on_no_descriptor` is called to free one; after `timeout_s` without success the socket is closed
-        anyway, so that the process can exit.
+        `on_no_descriptor` is called to free one. A connection that failed in the queue, or that cannot be
+        served, is counted and logged. If accepts still fail after `timeout_s`, the socket is closed anyway,
+        so that the process can exit.
         """
         if self.socket.fileno() < 0:
             return
@@ -54,18 +71,30 @@
                 peer, _ = self.socket.accept()
             except BlockingIOError:
                 break  # the queue is empty; there is no await before the close
-            except OSError:
+            except OSError as error:
                 if loop.time() >= until_s:
                     break
-                on_no_descriptor()
+                if error.errno in OUT_OF_RESOURCES:
+                    on_no_descriptor()
+                else:
+                    self._record_failed_connection(error)
                 await asyncio.sleep(ACCEPT_RETRY_S)
             else:
                 await self._serve_accepted(peer)
         self.close()
 
     async def _serve_accepted(self, peer: socket.socket) -> None:
-        peer.setblocking(False)
-        await asyncio.get_running_loop().connect_accepted_socket(self.new_protocol, peer)
+        """Serve a connection; if its socket fails, close it alone."""
+        try:
+            peer.setblocking(False)
+            await asyncio.get_running_loop().connect_accepted_socket(self.new_protocol, peer)
+        except OSError as error:
+            peer.close()
+            self._record_failed_connection(error)
+
+    def _record_failed_connection(self, error: OSError) -> None:
+        self.counters["listeners.failed_connections"] += 1
+        log.warning("listener: a connection failed before it could be served: %s", error)
 
 
 async def listen(
@@ -75,6 +104,7 @@
     new_reader: ReaderFactory,
     accept_burst: int,
     queue_size: int,
+    counters: Counter[str],
     reuse_port: bool = False,
 ) -> Listener:
     """Listen on an address, and serve each accepted connection with a new reader.
@@ -91,7 +121,7 @@
     listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     if reuse_port:
         listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-    listener = Listener(listening_socket, serve, new_reader)
+    listener = Listener(listening_socket, serve, new_reader, counters)
     try:
         listening_socket.bind(bind_address)
         loop = asyncio.get_running_loop()
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -68,7 +68,14 @@
         limits = self.limits.listeners
         new_reader = partial(ClientReader, self.limits.clients.read_bytes, self.timestamps)
         return await listen(
-            host, port, self._serve, new_reader, limits.accept_burst, limits.accept_queue, reuse_port
+            host,
+            port,
+            self._serve,
+            new_reader,
+            limits.accept_burst,
+            limits.accept_queue,
+            self.counters,
+            reuse_port,
         )
 
     def apply_settings(self, settings: Settings) -> None:
--- a/tests/test_listen.py
+++ b/tests/test_listen.py
@@ -1,7 +1,11 @@
 """Tests of closing a listener: accepted connections are served, others are reset by the kernel."""
 
 import asyncio
+import errno
+import os
 import socket
+from collections import Counter
+from typing import Any, cast
 from unittest import mock
 
 import pytest
@@ -41,6 +45,7 @@
 
     async def scenario() -> None:
         requests = list[bytes]()
+        counters = Counter[str]()
 
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             requests.append(await reader.read(1))
@@ -48,7 +53,7 @@
             await writer.drain()
             writer.close()
 
-        listener = await listen("127.0.0.1", 0, serve, asyncio.StreamReader, accept_burst=16, queue_size=64)
+        listener = await listen("127.0.0.1", 0, serve, asyncio.StreamReader, 16, 64, counters)
         waiting = [send_request(listener.address) for _ in range(20)]
         late = list[socket.socket]()
         close = listener.close
@@ -65,3 +70,83 @@
             read_answer(late[0])
 
     asyncio.run(scenario())
+
+
+class FaultyListeningSocket:
+    """A listening socket whose `accept` raises errors before it accepts what is queued."""
+
+    def __init__(self, wrapped: socket.socket, error_numbers: list[int]) -> None:
+        self.wrapped = wrapped
+        self.error_numbers = error_numbers
+
+    def accept(self) -> tuple[socket.socket, Address]:
+        """Raise the next error; once there is none left, accept a connection."""
+        if self.error_numbers:
+            number = self.error_numbers.pop(0)
+            raise OSError(number, os.strerror(number))
+        return self.wrapped.accept()
+
+    def fileno(self) -> int:
+        """Return the descriptor of the socket."""
+        return self.wrapped.fileno()
+
+
+def close_with_faults(accept_errors: list[int], handshake_errors: int) -> tuple[list[bytes], int, int]:
+    """Close a listener with three queued connections while accepts, and the first handshakes, fail.
+
+    Return the answers of the clients (no bytes for a closed connection), the number of descriptors that were
+    freed, and the number of failed connections that were counted.
+    """
+
+    async def scenario() -> tuple[list[bytes], int, int]:
+        counters = Counter[str]()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(await reader.read(1))
+            writer.close()
+
+        listener = await listen("127.0.0.1", 0, serve, asyncio.StreamReader, 16, 64, counters)
+        waiting = [send_request(listener.address) for _ in range(3)]
+        loop = asyncio.get_running_loop()
+        connect = loop.connect_accepted_socket
+        failures = [OSError(errno.ENOTCONN, "not connected")] * handshake_errors
+
+        async def connect_or_fail(*arguments: Any) -> Any:
+            if failures:
+                raise failures.pop()
+            return await connect(*arguments)
+
+        listener.socket = cast(socket.socket, FaultyListeningSocket(listener.socket, accept_errors))
+        freed = list[int]()
+        with mock.patch.object(loop, "connect_accepted_socket", connect_or_fail):
+            await listener.accept_queued_and_close(PATIENCE_S, lambda: freed.append(1))
+        answers = [await asyncio.to_thread(read_to_end, connection) for connection in waiting]
+        return answers, len(freed), counters["listeners.failed_connections"]
+
+    return asyncio.run(scenario())
+
+
+def read_to_end(connection: socket.socket) -> bytes:
+    """Read until the end of a connection; return no bytes if it was reset."""
+    with connection:
+        try:
+            return connection.recv(1)
+        except ConnectionResetError:
+            return b""
+
+
+def test_accept_error_of_one_connection_frees_no_descriptor() -> None:
+    """Guards against a drain evicting a client for each connection that a peer reset in the accept queue."""
+    answers, freed, failed = close_with_faults([errno.ECONNABORTED, errno.EPROTO], 0)
+    assert (answers, freed, failed) == ([b"?"] * 3, 0, 2)
+
+
+def test_accept_without_free_descriptor_frees_one() -> None:
+    answers, freed, failed = close_with_faults([errno.EMFILE, errno.ENFILE], 0)
+    assert (answers, freed, failed) == ([b"?"] * 3, 2, 0)
+
+
+def test_accepted_connection_that_cannot_be_served_ends_alone() -> None:
+    """Guards against an error of one accepted socket ending the drain, and with it the process."""
+    answers, freed, failed = close_with_faults([], 1)
+    assert (sorted(answers), freed, failed) == ([b"", b"?", b"?"], 0, 1)
