Errors that end one callback or connection task are counted, and logged within the rate limit

Need: an error that escapes from the task of a connection, or from a transport (the half-close that a transport does by itself behind its last buffered byte fails with the same ENOTCONN), ends that task or callback alone, but left no counter, and asyncio logs it at a level that has no rate limit.

Change: LoopErrorReporter is the exception handler of the event loop of routers and agents. It counts in loop.errors, logs a warning with the traceback, and leaves out the cancelled connections of the exit.

--- a/maplestile/agent/supervisor.py
+++ b/maplestile/agent/supervisor.py
@@ -14,6 +14,7 @@
 from maplestile.agent.settings import AgentSettings, InstanceSettings, load_settings
 from maplestile.agent.supervised_process import SupervisedProcess
 from maplestile.common.errors import CommandRejected
+from maplestile.common.loop_errors import LoopErrorReporter
 from maplestile.control.settings import ControlSettings
 from maplestile.operation.state_folder import ProcessLocks
 
@@ -59,6 +60,7 @@
         Raises OSError if the command server cannot listen.
         """
         self._handle_signals()
+        LoopErrorReporter(self.counters).install()
         server = await self.command_server.listen(*self.settings.listen)
         host, port = server.sockets[0].getsockname()[:2]
         log.info("agent listens on %s:%d, %d instances", host, port, len(self.instances))
--- a/maplestile/router/process.py
+++ b/maplestile/router/process.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from maplestile.common import logs
+from maplestile.common.loop_errors import LoopErrorReporter
 from maplestile.common.toml_table import ConfigError
 from maplestile.dispatch.api import ListKind
 from maplestile.net.listen import Listener
@@ -59,6 +60,7 @@
     async def run(self) -> None:
         """Serve until asked to stop, and then drain. Raises OSError if a front cannot bind its address."""
         self._install_signal_handlers()
+        LoopErrorReporter(self.components.counters).install()
         self.gc_scheduler.start()
         operator_listener = await open_operator_front(self.components, self.readiness)
         self.components.publish_endpoints(ListKind.CACHED)
