A peer's datagram can no longer take the gossip socket away

Cause: the reply address of a datagram could be any text. For some (a NUL, a name that cannot be encoded) sendto raises TypeError, which asyncio takes for the end of the socket: it closes it. GossipDriver went on until its next message, whose send on the closed transport failed with AttributeError. Within 'leave' at the start of a drain that error reached the main program, and ended the process with its calls open; other names were looked up with the event loop blocked. Found by reading, in the search for other sockets that one peer's error can end.

Change: hosts in datagrams are IP addresses, anything else is a DatagramError (dropped, counted, logged as before). A socket that is lost all the same ends 'run' with ConnectionError, so that it is opened again; it is counted in peers.lost_sockets, and 'leave' sends nothing without a socket. Encoding tests that used the host "h" use 127.0.0.1; the checks are the same.

--- a/maplestile/membership/messages.py
+++ b/maplestile/membership/messages.py
@@ -5,10 +5,11 @@
      "g": [[status, name, host, port, incarnation, by], ...],
      "f": [[runner, whether it answers, version, by], ...]}
 
-A datagram that is not valid msgpack, or whose map does not have this shape, raises a `DatagramError` that
-names the invalid field; no part of the datagram is used.
+Hosts are IP addresses. A datagram that is not valid msgpack, or whose map does not have this shape, raises a
+`DatagramError` that names the invalid field; no part of the datagram is used.
 """
 
+import ipaddress
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any
@@ -46,12 +47,12 @@
 
 MAX_NAME_BYTES = 64
 MAX_RUNNER_ID_BYTES = 128
-MAX_HOST_CHARACTERS = 255
 MAX_LIST_ENTRIES = 4096  # of each list in a datagram
 SEQUENCE_BITS = 32
 DIGEST_BITS = 64  # 8 * `member_list.DIGEST_BYTES`
 COUNTER_BITS = 63  # size of incarnations and versions
 PORT_LIMIT = 1 << 16  # ports are below this
+IPV6_SCOPE_SEPARATOR = "%"
 ADDRESS_FIELD_COUNT = 2
 UPDATE_FIELD_COUNT = 6
 FINDING_FIELD_COUNT = 4
@@ -223,8 +224,17 @@
     if not isinstance(value, list) or len(value) != ADDRESS_FIELD_COUNT:
         raise DatagramError(f"{field_path}: not [host, port]")
     host, port = value
-    if not isinstance(host, str) or len(host) > MAX_HOST_CHARACTERS:
+    if not isinstance(host, str) or not _is_ip_address(host):
         raise DatagramError(f"{field_path}: not [host, port]")
     if not isinstance(port, int) or not 0 <= port < PORT_LIMIT:
         raise DatagramError(f"{field_path}: not [host, port]")
     return host, port
+
+
+def _is_ip_address(host: str) -> bool:
+    """Return whether a host is an IP address; a name would be resolved, and some names cannot be sent to."""
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return IPV6_SCOPE_SEPARATOR not in host
--- a/maplestile/net/gossip.py
+++ b/maplestile/net/gossip.py
@@ -63,9 +63,12 @@
     # The socket and the timer.
 
     async def run(self) -> None:
-        """Take part in the group until cancelled. Raises OSError if the address cannot be bound."""
-        self.transport = await self._open_socket()
-        host, port = self.transport.get_extra_info("sockname")[:2]
+        """Take part in the group until cancelled.
+
+        Raises OSError if the address cannot be bound or the socket is lost.
+        """
+        transport = self.transport = await self._open_socket()
+        host, port = transport.get_extra_info("sockname")[:2]
         # If the settings have port 0, the other members need to know the port that the kernel chose.
         self.swim = self._new_swim(self.settings.advertise or (host, port))
         self.swim.join(self.settings.seeds)
@@ -76,11 +79,14 @@
         try:
             while True:
                 await self._wait_until_due()
+                if transport.is_closing():
+                    raise ConnectionError("the gossip socket is lost")
                 self.swim.tick(monotonic_us())
                 self._flush()
                 self._send_health_checks()
         finally:
-            self.transport.close()
+            self.transport = None
+            transport.close()
 
     def leave(self) -> None:
         """Announce that this member leaves the group; gossip spreads this while the process drains."""
@@ -106,6 +112,14 @@
         """Count a send error, such as a refused port of an ended member; pings detect such failures."""
         self.counters["peers.send_errors"] += 1
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Send nothing on a socket that has failed, and let `run` end so that it is opened again."""
+        if exc is None:  # closed by `run`
+            return
+        self.counters["peers.lost_sockets"] += 1
+        self.transport = None
+        self.wake.set()
+
     # Health checks of the runners.
 
     def set_runners(self, runners: Iterable[str]) -> None:
--- a/tests/test_membership_messages.py
+++ b/tests/test_membership_messages.py
@@ -29,7 +29,7 @@
             MessageKind.ACK,
             1,
             "r1",
-            reply_to=("h", 1),
+            reply_to=("127.0.0.1", 1),
             digest=7,
             findings=[HealthFinding("w1", True, 3, "r1")],
         )
@@ -39,11 +39,11 @@
             (HealthFinding("w1", True, -1, "r1"), 2),
         ):
             with self.assertRaisesRegex(DatagramError, rf"^f\[0\]\[{index}\]"):
-                decode(encode(Message(MessageKind.ACK, 1, "r1", reply_to=("h", 1), findings=[bad])))
+                decode(encode(Message(MessageKind.ACK, 1, "r1", reply_to=("127.0.0.1", 1), findings=[bad])))
 
     def test_rejects_invalid_datagram_and_names_field(self) -> None:
         good = encode(Message(MessageKind.PING, 1, "r1", "r2", reply_to=("127.0.0.1", 1)))
-        update = MemberUpdate(Status.DEAD, "r3", ("h", 1), 0, "r1")
+        update = MemberUpdate(Status.DEAD, "r3", ("127.0.0.1", 1), 0, "r1")
         with_update = encode(
             Message(MessageKind.PING, 1, "r1", "r2", reply_to=("127.0.0.1", 1), gossip=[update])
         )
