Commands whose client leaves are counted, and one nested too deeply gets an error

Cause: the agent's command server ends a connection that its client resets alone, with a log line, but no counter told how often. A command nested deeper than the parser goes raised RecursionError in the connection's task, and its client got no answer.

Change: commands.unanswered counts them; the nested command is answered with "not understood".

--- a/maplestile/agent/command_server.py
+++ b/maplestile/agent/command_server.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import logging
+from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from typing import Any, Protocol, TypeVar
@@ -63,7 +64,7 @@
             name = message["do"]
             chosen_names = message.get("instances") or list(instances)
             chosen_instances = {instance: instances[instance] for instance in chosen_names}
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
             raise CommandError(f"not understood, or no such instance: {error}") from None
         return cls(
             name=name,
@@ -100,9 +101,12 @@
 class CommandServer:
     """Answers the commands of operators and of other agents, one command per connection."""
 
-    def __init__(self, instances: Mapping[str, Instance], stop_agent: Callable[[], None]) -> None:
+    def __init__(
+        self, instances: Mapping[str, Instance], stop_agent: Callable[[], None], counters: Counter[str]
+    ) -> None:
         self.instances = instances
         self.stop_agent = stop_agent
+        self.counters = counters
         self.control: ControlCommands | None = None
         self.no_control_reason = "no [control] in its file"
         self.handlers: dict[str, Handler] = {
@@ -138,6 +142,7 @@
                 writer.write(json.dumps(result.encoded()).encode() + b"\n")
                 await writer.drain()
         except (OSError, ValueError, TimeoutError) as error:
+            self.counters["commands.unanswered"] += 1
             log.warning("agent: a command could not be answered; closing its connection: %s", error)
         finally:
             writer.close()
--- a/maplestile/agent/supervisor.py
+++ b/maplestile/agent/supervisor.py
@@ -52,7 +52,7 @@
             self.instances[instance.name] = Instance(process, RouterClient(process))
         self.stopping = asyncio.Event()
         self.counters: Counter[str] = Counter()
-        self.command_server = CommandServer(self.instances, self.stopping.set)
+        self.command_server = CommandServer(self.instances, self.stopping.set, self.counters)
 
     async def run(self) -> None:
         """Run until a signal or a command stops the agent, then stop its instances.
