No `100 Continue` is written to a connection whose write side is closed

Cause: at the end of a drain an HTTP front half-closes connections with incomplete requests. If the rest of such a head expects `100 Continue`, HttpConnection wrote it to the closed side, and the transport raised RuntimeError in the connection's task. It ended that connection alone, with an unhandled error in the log.

Change: it is written only while the write side is open; the client sees the clean end and calls elsewhere.

Test: request_that_expects_100_continue_and_crosses_close_ends_cleanly failed before the change with one error in loop.errors. test_http passes.

--- a/maplestile/net/http_connection.py
+++ b/maplestile/net/http_connection.py
@@ -135,7 +135,7 @@
         h11's RemoteProtocolError for input that is not valid HTTP.
         """
         while (event := self.protocol.next_event()) is h11.NEED_DATA:
-            if self.protocol.they_are_waiting_for_100_continue:
+            if self.protocol.they_are_waiting_for_100_continue and not self.write_closed:
                 continue_response = h11.InformationalResponse(status_code=100, headers=[])
                 self.writer.write(self.protocol.send(continue_response) or b"")
             if self._deadline_s is None:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -6,6 +6,7 @@
 from types import SimpleNamespace
 from typing import cast
 
+from maplestile.common.loop_errors import LoopErrorReporter
 from maplestile.net.http import HttpFront
 from maplestile.wire.http import Application, FrontLimits
 from tests.standins import PATIENCE_S, wait_until
@@ -50,3 +51,24 @@
         self.assertEqual(handled, [])
         for _, writer in connections:
             writer.close()
+
+    async def test_request_that_expects_100_continue_and_crosses_close_ends_cleanly(self) -> None:
+        """Guards against a `100 Continue` written to a connection whose write side is closed."""
+        counters = Counter[str]()
+        LoopErrorReporter(counters).install()
+        bounds = FrontLimits(4, 60.0, 10_000_000, 100, 100_000, 16)
+        api = SimpleNamespace(bounds=bounds)
+        http = HttpFront("invoke", cast(Application, api), counters, lambda: 0)
+        server = await http.start("127.0.0.1", 0)
+        self.addCleanup(server.close)
+        async with asyncio.timeout(PATIENCE_S):
+            reader, writer = await asyncio.open_connection(*server.address)
+            writer.write(b"POST / HTTP/1.1\r\nHost: x\r\n")
+            await wait_until(lambda: bool(http.state.receiving))
+            http.close_idle_connections()
+            writer.write(b"Content-Length: 1\r\nExpect: 100-continue\r\n\r\n")
+            self.assertEqual(await reader.read(), b"")
+            await asyncio.sleep(0.05)  # for the event loop to read the rest of the head
+            writer.close()
+            await wait_until(lambda: not http.connections)
+        self.assertEqual(counters["loop.errors"], 0)
