Two attempts with one tag never share a connection, so each client gets its own answer

Cause: a runner's answer names its attempt by the tag alone, and clients choose the tags. ConnectionTable.select kept a tag off a connection on which it was open or had been rejected, but an attempt stands in 'open' only once it is written. Two that waited in the queue of an opening connection, or were held back there, were written both, and the second replaced the first in 'open'. The same happened behind an attempt that was cancelled after it was written (its answer crosses the cancel), or answered well (a second copy of the answer comes late).

Change: Connection.has_tag covers the queue, what is open, and the 64 latest tags that were answered or cancelled (before: rejected). MessageWriter writes no line whose tag is in use: it counts runners.tag_in_use, logs an error, and ends the line as never sent.

--- a/maplestile/requests/connection_table.py
+++ b/maplestile/requests/connection_table.py
@@ -33,15 +33,13 @@
     def select(self, runner: Runner, tag: str) -> Connection | None:
         """Return a connection for a message to the runner, a new one if needed; None at the limits."""
         max_streams = self.limits.streams
-        # A tag that was rejected on a connection is not used there again: a duplicate of that answer would be
-        # taken for the answer to the new attempt.
+        # An answer is matched to its attempt by the tag alone, so no two with one tag share a connection.
         candidates = [
             connection
             for connection in runner.connections
             if connection.stream_count() < max_streams
             and connection.state is not ConnectionState.UNVERIFIED
-            and tag not in connection.open
-            and tag not in connection.rejected_tags
+            and not connection.has_tag(tag)
         ]
         best = max(candidates, key=_preference, default=None)
         if best is not None and (best.stream_count() or not self._is_stale(best)):
--- a/maplestile/requests/connections.py
+++ b/maplestile/requests/connections.py
@@ -9,7 +9,7 @@
 from maplestile.requests.states import AttemptState, ConnectionState
 from maplestile.wire.messages import Request
 
-MAX_REJECTED_TAGS = 64  # remembered for each connection
+MAX_ENDED_TAGS = 64  # remembered for each connection
 
 
 class Socket(Protocol):
@@ -60,6 +60,28 @@
     is_health_check: bool
 
 
+class EndedTags:
+    """The tags of a connection's latest attempts that were answered, or cancelled after they were written.
+
+    An answer to a cancelled attempt, or a second copy of an answer, may still come.
+    """
+
+    __slots__ = ("_tags",)
+
+    def __init__(self) -> None:
+        self._tags: dict[str, None] = {}  # an ordered set, oldest first
+
+    def __contains__(self, tag: str) -> bool:
+        return tag in self._tags
+
+    def add(self, tag: str) -> None:
+        """Remember a tag, and forget the oldest one if there are more than `MAX_ENDED_TAGS`."""
+        self._tags.pop(tag, None)
+        self._tags[tag] = None
+        if len(self._tags) > MAX_ENDED_TAGS:
+            del self._tags[next(iter(self._tags))]
+
+
 @dataclass(slots=True, eq=False)
 class Connection:
     """A connection to a runner, with its queued messages and its open requests."""
@@ -73,8 +95,7 @@
     open: dict[str, AttemptId] = field(default_factory=dict)  # attempts written and not answered, by tag
     # Control requests written and not answered, by tag.
     control_tags: dict[str, ControlTag] = field(default_factory=dict)
-    # Tags of the latest attempts that the runner answered without running them.
-    rejected_tags: deque[str] = field(default_factory=lambda: deque(maxlen=MAX_REJECTED_TAGS))
+    ended_tags: EndedTags = field(default_factory=EndedTags)
     partial: Message | None = None  # being written, and not accepted completely by the system
     last_input_us: int = 0  # 0 before the first input
     # How long it was idle before the first request that it now carries; reset to 0 by the next input.
@@ -84,6 +105,15 @@
         """Return whether the connection is closed."""
         return self.state is ConnectionState.CLOSED
 
+    def has_tag(self, tag: str) -> bool:
+        """Return whether an answer under this tag may come that belongs to a message of this connection.
+
+        Tags of calls are chosen by clients, so two calls can have the same one.
+        """
+        if tag in self.open or tag in self.ended_tags:
+            return True
+        return any(message.tag == tag for message in self.queue)
+
     def stream_count(self) -> int:
         """Return the number of requests that are written and not answered, and of queued messages."""
         return len(self.open) + len(self.control_tags) + len(self.queue)
--- a/maplestile/requests/message_writer.py
+++ b/maplestile/requests/message_writer.py
@@ -4,6 +4,7 @@
 any more: its runner may have started to drain, or its deadline may have passed. It then ends as unsent.
 """
 
+import logging
 from collections import Counter
 from collections.abc import Callable
 
@@ -14,6 +15,8 @@
 from maplestile.requests.states import AttemptState, Transition
 from maplestile.wire import runner as wire
 
+log = logging.getLogger(__name__)
+
 
 class MessageWriter:
     """Writes the messages that are queued at the connections of a pool."""
@@ -61,6 +64,8 @@
             elif self._is_stale(connection, message):
                 self._counters["runners.stale"] += 1
                 self._reporter.report_unsent(message, Result.SUPERSEDED)
+            elif message.tag in connection.open:
+                self._report_tag_in_use(connection, message)
             else:
                 self._write_message(socket, connection, message)
         if postponed and not connection.is_closed():
@@ -95,6 +100,13 @@
         overdue = message.request is not None and message.due_us <= now
         return message.is_new_work and (window_passed or overdue or not connection.runner.accepts_new_work)
 
+    def _report_tag_in_use(self, connection: Connection, message: Message) -> None:
+        """End a message whose answer could not be told from that of an open attempt; this is a bug."""
+        self._counters["runners.tag_in_use"] += 1
+        uid, attempt = connection.runner.uid, connection.open[message.tag]
+        log.error("runner %s: tag %s is in use on the connection by attempt %s", uid, message.tag, attempt)
+        self._reporter.report_unsent(message, Result.SUPERSEDED)
+
     def _write_message(self, socket: Socket, connection: Connection, message: Message) -> None:
         """Write a message; it becomes the connection's `partial` if the system does not accept all of it."""
         if not connection.open and not connection.control_tags:
--- a/maplestile/requests/pool.py
+++ b/maplestile/requests/pool.py
@@ -126,10 +126,9 @@
         if was_queued:  # never written, so the runner does not know it
             connection.queue.remove(message)
             return
-        # If the client has two open requests with one tag, the tag may now belong to the other one.
-        if connection.open.get(message.tag) != attempt:
-            return
-        del connection.open[message.tag]
+        if connection.open.pop(message.tag, None) is None:
+            return  # its connection is being closed
+        connection.ended_tags.add(message.tag)
         self._mark_unverified_if_silent(connection, message)
         self.writer.write(connection, Message(wire.cancel(message.tag), False))
 
--- a/maplestile/requests/result_reporter.py
+++ b/maplestile/requests/result_reporter.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from typing import Protocol
 
-from maplestile.dispatch.api import NEVER_RAN, Result
+from maplestile.dispatch.api import Result
 from maplestile.requests.connections import Connection, Message
 from maplestile.requests.records import AttemptId, Presence
 from maplestile.requests.states import AttemptState, Transition
@@ -65,8 +65,7 @@
         control = connection.control_tags.pop(answer.call, None)
         if attempt is not None:
             self.forget(attempt, AttemptState.ANSWERED)
-            if answer.result in NEVER_RAN:
-                connection.rejected_tags.append(answer.call)
+            connection.ended_tags.add(answer.call)
             self.core.attempt_ended(attempt, answer.result, answer.body, answer.queued_ahead, answer.report)
         elif control is None:
             self._counters["runners.late"] += 1
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -25,15 +25,18 @@
 
     def __init__(self) -> None:
         self.ended: dict[AttemptId, Result] = {}
+        self.bodies: dict[AttemptId, bytes] = {}
+        self.client_presence = Presence.WAITING
         self.health_checks_ended: dict[int, Result] = {}
 
     def run_due_timers(self) -> None: ...
 
-    def attempt_ended(self, attempt: AttemptId, result: Result, *_: Any) -> None:
+    def attempt_ended(self, attempt: AttemptId, result: Result, body: bytes = b"", *_: Any) -> None:
         self.ended[attempt] = result
+        self.bodies[attempt] = body
 
     def presence(self, attempt: AttemptId) -> Presence:
-        return Presence.WAITING
+        return self.client_presence
 
     def load_ended(self, tag: int, result: Result, copies: int = 0) -> None: ...
 
