An interrupt by txn finds its call, also where another call of the client had the same txn

Cause: RequestHandler kept one JSON-RPC id for each txn of a connection. The txn comes from the client, so two open calls can have the same one: the second replaced the first, and the answer to either removed the entry of both. An interrupt by txn then cancelled nothing, and the call ran on at its runner and was answered.

Change: the map is gone. Client.calls holds an OpenCall (tag and number) for each JSON-RPC id, and an interrupt by txn looks for the latest open call with it, as before. A call that is being submitted has no number in place of 0.

--- a/maplestile/net/client.py
+++ b/maplestile/net/client.py
@@ -17,6 +17,14 @@
 TCP_CLOSE_WAIT = 8
 
 
+@dataclass(slots=True)
+class OpenCall:
+    """A call of a client that has no answer yet."""
+
+    tag: str  # chosen by the client, which may use one for several calls
+    number: int | None = None  # at the core; None while the call is being submitted
+
+
 @dataclass(slots=True, eq=False)
 class Client:
     """One client connection; times are Unix microseconds."""
@@ -28,8 +36,7 @@
     message_wait_since_us: int
     message_reads: int = 0  # reads that completed at least one message
     bad_messages: int = 0  # invalid messages received
-    calls: dict[int, int] = field(default_factory=dict)  # JSON-RPC id of each open call -> number in the core
-    tags: dict[str, int] = field(default_factory=dict)  # tag of each open call -> JSON-RPC id
+    calls: dict[int, OpenCall] = field(default_factory=dict)  # by JSON-RPC id, in the order of their arrival
     all_answered: asyncio.Event = field(default_factory=asyncio.Event)  # set when no call is open any more
     last_active_us: int = 0  # when the client last sent a message or was sent an answer
     written_bytes: int = 0  # answer bytes written to the transport
@@ -59,6 +66,14 @@
         """Return whether a request was received, completely or in part, that is not open in the core yet."""
         return self.is_handling or bool(self.framer.incomplete) or self.unread_input_bytes() > 0
 
+    def call_numbers(self) -> list[int]:
+        """Return the numbers of the open calls that the core knows."""
+        return [call.number for call in self.calls.values() if call.number is not None]
+
+    def latest_call_with_tag(self, tag: str) -> int | None:
+        """Return the JSON-RPC id of the open call with a tag, of several the latest one."""
+        return next((id_ for id_, call in reversed(self.calls.items()) if call.tag == tag), None)
+
     def presence(self) -> Presence:
         """Return whether the client still waits, for an attempt that starts after the event loop was busy.
 
--- a/maplestile/net/request_handler.py
+++ b/maplestile/net/request_handler.py
@@ -5,7 +5,7 @@
 from functools import partial
 
 from maplestile.net.answer_writer import AnswerWriter
-from maplestile.net.client import Client
+from maplestile.net.client import Client, OpenCall
 from maplestile.net.graceful_close import GracefulClose
 from maplestile.requests.core import Core
 from maplestile.wire import jsonrpc
@@ -54,14 +54,14 @@
 
     def cancel_all(self, client: Client) -> None:
         """Withdraw all open calls of a connection that is closing."""
-        for number in list(client.calls.values()):
+        for number in client.call_numbers():
             self.core.withdraw(number)
         client.calls.clear()
 
     def client_disconnected(self, client: Client) -> None:
         """Notify the core that the client no longer waits for the open calls of its connection."""
         if not client.writer.is_closing():
-            for number in list(client.calls.values()):
+            for number in client.call_numbers():
                 self.core.client_disconnected(number)
 
     def _call(self, client: Client, call: jsonrpc.Call, received_us: int) -> None:
@@ -74,18 +74,14 @@
             self.counters["clients.disconnected_before"] += 1
             self.answer_writer.write(client, jsonrpc.answer(call.id, Outcome(Verdict.REJECTED)))
             return
-        client.calls[call.id] = 0  # placeholder until the core assigns a request number
-        client.tags[call.request.tag] = call.id
+        open_call = client.calls[call.id] = OpenCall(call.request.tag)
         answer = partial(self._answer, client, call)
-        number = self.core.submit(call.request, received_us, answer, client.presence)
-        if call.id in client.calls:  # not answered at once
-            client.calls[call.id] = number
+        open_call.number = self.core.submit(call.request, received_us, answer, client.presence)
 
     def _answer(self, client: Client, call: jsonrpc.Call, outcome: Outcome) -> None:
         """Write the final answer to a call; drop it if the call was cancelled."""
         if client.calls.pop(call.id, None) is None:
             return
-        client.tags.pop(call.request.tag, None)
         self.answer_writer.write(client, jsonrpc.answer(call.id, outcome))
         if not client.calls:
             client.all_answered.set()
@@ -93,11 +89,10 @@
 
     def _cancel(self, client: Client, message: jsonrpc.Interrupt) -> None:
         """Cancel one call by its id or its tag; a cancelled call gets no answer."""
-        id_ = message.id if message.id is not None else client.tags.get(message.txn or "")
-        number = client.calls.pop(id_, None) if id_ is not None else None
+        id_ = message.id if message.id is not None else client.latest_call_with_tag(message.txn or "")
+        call = client.calls.pop(id_, None) if id_ is not None else None
         self.counters["clients.interrupts"] += 1
-        if number is not None:
-            client.tags = {tag: open_id for tag, open_id in client.tags.items() if open_id != id_}
-            self.core.withdraw(number)
+        if call is not None and call.number is not None:
+            self.core.withdraw(call.number)
         if not client.calls:
             client.all_answered.set()
