A close that is found while its call is submitted reaches the core

Cause: RequestHandler._call put the number 0 for a call until Core.submit returned the real one. If the pool, which asks for the presence of the client before it writes, found the close in that time, the front reported the call 0, which the core does not know; a reader reports its end only once. The line was held, but the call stayed open, and the dispatcher sent it again later.

Change: after the submit, a client that has ended is reported with the number of the call.

Test: close_that_is_found_while_a_call_is_submitted_reaches_the_core puts the call and the close in one turn, and failed before the change (0 reports, not 1). With test_front and test_deadlines it passes.

--- a/maplestile/net/request_handler.py
+++ b/maplestile/net/request_handler.py
@@ -77,6 +77,9 @@
         open_call = client.calls[call.id] = OpenCall(call.request.tag)
         answer = partial(self._answer, client, call)
         open_call.number = self.core.submit(call.request, received_us, answer, client.presence)
+        # The pool may have found the close of the client, which was reported while there was no number.
+        if client.reader.ended:
+            self.core.client_disconnected(open_call.number)
 
     def _answer(self, client: Client, call: jsonrpc.Call, outcome: Outcome) -> None:
         """Write the final answer to a call; drop it if the call was cancelled."""
--- a/tests/test_front_ids.py
+++ b/tests/test_front_ids.py
@@ -1,9 +1,11 @@
 """Tests of the ids by which a client names its open calls: JSON-RPC ids and tags (`txn`)."""
 
+import asyncio
 import json
 
+from maplestile.requests.records import AttemptId
 from tests.front_fixture import CALL_LIMIT_MS, FrontTestCase, call_frame
-from tests.standins import wait_until
+from tests.standins import PATIENCE_S, wait_until
 from tests.test_machines import framed, message
 
 
@@ -36,3 +38,22 @@
         self.answer_attempt(0)
         self.assertEqual((await client.read_answer())["id"], 1)
         self.assertEqual(self.harness.core.counters["requests.withdrawn"], 1)
+
+    async def test_close_that_is_found_while_a_call_is_submitted_reaches_the_core(self) -> None:
+        """Guards against attempts that begin for a client that had left: it was reported without a number."""
+        found = list[AttemptId]()
+
+        def look_for_the_client(attempt: AttemptId, _epoch: int) -> None:
+            self.harness.core.presence(attempt)  # as the pool does before it writes an attempt
+            found.append(attempt)
+
+        client = await self.connect()
+        await client.check()
+        accepted = next(iter(self.front.clients))
+        self.harness.core.attempts.on_sent = look_for_the_client
+        client.writer.write(call_frame(1))
+        client.writer.write_eof()
+        await wait_until(lambda: bool(found))
+        async with asyncio.timeout(PATIENCE_S):
+            await wait_until(lambda: accepted.reader.ended)
+        self.assertEqual(self.harness.core.counters["requests.client_disconnected"], 1)
