A control request that timed out is not sent once its connection opens

Cause: Pool.forget_control_request removed the tag of a load request or a health check from the requests that are written, not from the queue of a connection that is still opening. The line was written later, under a tag that nobody waits for: a probe or a load for nothing, and if the runner does not answer it, a connection that counts as busy until it closes. Found by reading, while following ids from when they are chosen until they are written.

Change: the line is taken out of the queue as well.

Test: control_request_that_timed_out_is_not_sent_when_its_connection_opens failed before the change (STATS and LOAD were written). test_pool passes.

--- a/maplestile/requests/pool.py
+++ b/maplestile/requests/pool.py
@@ -147,7 +147,7 @@
 
     def load(self, tag: int, worker: str, function: str, copies: int) -> None:
         """Send a load request for at least `copies` copies of a function."""
-        wire_tag = f"load-{tag}"
+        wire_tag = _load_tag(tag)
         message = Message(wire.load(wire_tag, function, copies), True, None, wire_tag, tag)
         if not self.sender.enqueue(worker, message):
             self.core.load_ended(tag, Result.CONNECT_FAILED)
@@ -158,16 +158,20 @@
 
     def check_health(self, tag: int, worker: str) -> None:
         """Send a health check to a runner."""
-        wire_tag = f"probe-{tag}"
+        wire_tag = _health_check_tag(tag)
         message = Message(wire.stats(wire_tag), True, None, wire_tag, tag, is_health_check=True)
         if not self.sender.enqueue(worker, message):
             self.core.health_check_ended(tag, Result.CONNECT_FAILED)
 
     def forget_control_request(self, tag: int) -> None:
-        """Drop a control request: its result is no longer reported."""
+        """Drop a control request: it is not written any more, and its result is not reported."""
+        wire_tags = (_load_tag(tag), _health_check_tag(tag))
         for connection in self.table.connections:
-            for wire_tag in (f"load-{tag}", f"probe-{tag}"):
+            for wire_tag in wire_tags:
                 connection.control_tags.pop(wire_tag, None)
+            for message in [message for message in connection.queue if message.tag in wire_tags]:
+                connection.queue.remove(message)
+                self.transition(message, AttemptState.UNSENT)
 
     def close_idle(self, worker: str) -> None:
         """Close the connections to a runner that carry no request."""
@@ -243,3 +247,13 @@
         is_silent = connection.last_input_us < message.written_us and silent_us > self.limits.silent_us
         if is_silent and connection.state is ConnectionState.UP:
             self.transition(connection, ConnectionState.UNVERIFIED)
+
+
+def _load_tag(number: int) -> str:
+    """Return the tag of a load request on the wire."""
+    return f"load-{number}"
+
+
+def _health_check_tag(number: int) -> str:
+    """Return the tag of a health check on the wire."""
+    return f"probe-{number}"
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -100,6 +100,19 @@
         self.assertEqual((self.core.ended[3, 0], set(self.core.ended)), (Result.RESET, {(2, 0), (3, 0)}))
         self.assertNotIn("states.invalid_transitions", self.counters)
 
+    async def test_control_request_that_timed_out_is_not_sent_when_its_connection_opens(self) -> None:
+        """Guards against a connection that counts as busy for ever, for a request that nobody waits for."""
+        self.pool.check_health(7, "s-0")
+        self.pool.load(8, "s-0", "f", 1)
+        for tag in (7, 8):
+            self.pool.forget_control_request(tag)
+        self.send(1, b"x")
+        await self.wait_until_ended(1)
+        self.assertEqual([line["kind"] for line in self.worker.lines], ["CALL"])
+        (connection,) = self.pool.runners["s-0"].connections
+        self.assertEqual(connection.stream_count(), 0)
+        self.assertNotIn("states.invalid_transitions", self.counters)
+
     async def test_attempt_without_a_free_descriptor_ends_as_superseded(self) -> None:
         """Client connections hold all descriptors: one must be closed, and the runner is not to blame."""
         no_descriptor_reports = list[int]()
