Counters and reloads that are asked for at once are all answered by the agent

Cause: SignalAnswers keeps one waiting request for each kind of answer (`counters`, `reload`). A second request that came before the first was answered replaced it: the first operator was shown that the process had printed nothing, and one line answered the second, although it may have been printed before that one's signal.

Change: the requests of one process by signal follow one another.

--- a/maplestile/agent/supervised_process.py
+++ b/maplestile/agent/supervised_process.py
@@ -76,6 +76,7 @@
         self.should_run.set()
         self.state_changed = asyncio.Condition()
         self.skip_backoff = asyncio.Event()
+        self.signal_requests = asyncio.Lock()  # held by the request that waits for the answer to its signal
         self.backoff_s = agent.backoff_s
 
     # Supervision.
@@ -210,15 +211,20 @@
             await process.wait()
 
     async def _request_by_signal(self, number: signal.Signals, key: str) -> Any:
-        """Send a signal and return what the process prints under `key`; None if it prints nothing in time."""
-        answer = self.output.answers.expect(key)
-        if not self.send_signal(number):
-            return None
-        try:
-            async with asyncio.timeout(SIGNAL_ANSWER_TIMEOUT_S):
-                return await answer
-        except TimeoutError:
-            return None
+        """Send a signal and return what the process prints under `key`; None if it prints nothing in time.
+
+        One request follows the other: two signals of one kind may be delivered as one, and an answer does not
+        tell to which request it belongs.
+        """
+        async with self.signal_requests:
+            answer = self.output.answers.expect(key)
+            if not self.send_signal(number):
+                return None
+            try:
+                async with asyncio.timeout(SIGNAL_ANSWER_TIMEOUT_S):
+                    return await answer
+            except TimeoutError:
+                return None
 
     # Steps of a rollout.
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -14,8 +14,9 @@
 OPERATOR_FILE = (ROOT / "deploy" / "operator.toml").read_text()
 
 
-LASTING_PROGRAM = """import signal, sys
+LASTING_PROGRAM = """import signal, sys, time
 def print_counters(*_):
+    time.sleep(0.3)
     print('{"counters": {"n": 3}}', file=sys.stderr, flush=True)
 signal.signal(signal.SIGUSR1, print_counters)
 print("up", file=sys.stderr, flush=True)
@@ -63,6 +64,9 @@
         self.assertEqual(
             await send_command(address, "counters", ["lasting"]), {"counters": {"lasting": {"n": 3}}}
         )
+        # The answer to one command must not be lost to another that asks for the same at the same time.
+        answers = await asyncio.gather(*(send_command(address, "counters", ["lasting"]) for _ in range(3)))
+        self.assertEqual(answers, 3 * [{"counters": {"lasting": {"n": 3}}}])
         self.agent.find(r"\[router\] (.*platform front listens)")
         self.operator_file.write_text(self.operator_file.read_text().replace("shapla", "padma"))
         reports = (await send_command(address, "reload", ["router", "lasting"]))["reload"]
