A call that fails while a runner has it counts as one that may have run

Cause: PendingRequest.may_have_run was set only when an attempt ended. At the deadline, or shortly before it when the dispatcher gives up, the call is failed first and its attempts are cancelled after it, so an attempt that was out counted as one that never ran. InvokeApi drops the record of such a call if nobody waits for it.

Change: AttemptTable.fail_call looks at the attempts in flight before the answer. One that is still queued is dropped, which proves that it did not run and will not, also where the settings forbid cancelling; one that is written, in part or whole, means that the call may have run.

Tests, which failed before: call_that_fails_with_a_written_attempt_in_flight_may_have_run, and with real processes key_of_a_call_that_was_running_at_its_deadline_runs_nothing_again (2 runs, not 1). call_that_fails_with_an_unwritten_attempt_did_not_run held before and after.

--- a/maplestile/requests/attempts.py
+++ b/maplestile/requests/attempts.py
@@ -67,6 +67,23 @@
             if attempt in self.in_flight and self._pool.drop_unwritten(attempt):
                 self.end(attempt, Result.SUPERSEDED)
 
+    def fail_call(self, call: int) -> None:
+        """Answer that a call failed, and write none of its attempts any more.
+
+        The call may have run if an attempt that has no result yet was written, completely or in part.
+        """
+        pending = self._requests.open.get(call)
+        if pending is None:
+            return
+        for attempt in [(call, number) for number in range(pending.attempts)]:
+            if attempt not in self.in_flight:
+                continue
+            if self._pool.drop_unwritten(attempt):
+                self._end_unwritten_soon(attempt)
+            else:
+                pending.may_have_run = True
+        self._requests.fail(call)
+
     def end(
         self,
         attempt: AttemptId,
@@ -94,6 +111,15 @@
             api.AttemptEnded(*attempt, flight.worker, result, elapsed_us, over, warmth, queued_ahead, report)
         )
 
+    def _end_unwritten_soon(self, attempt: AttemptId) -> None:
+        """End a dropped attempt at the next tick, unless the dispatcher cancels it before."""
+
+        def end_unless_cancelled() -> None:
+            if attempt in self.in_flight:
+                self.end(attempt, Result.SUPERSEDED)
+
+        self._timers.call_at(self._clock(), end_unless_cancelled)
+
     def _time_out(self, attempt: AttemptId) -> None:
         self._cancel(attempt, Result.TIMEOUT)
 
--- a/maplestile/requests/core.py
+++ b/maplestile/requests/core.py
@@ -243,7 +243,7 @@
         self.requests.reject(action.call, action.retry_after_us)
 
     def _fail(self, action: api.FailCall) -> None:
-        self.requests.fail(action.call)
+        self.attempts.fail_call(action.call)
 
     def _close_idle(self, action: api.CloseIdleConnections) -> None:
         self.pool.close_idle(action.worker)
--- a/maplestile/requests/request_intake.py
+++ b/maplestile/requests/request_intake.py
@@ -124,7 +124,7 @@
             self._fail(call)
 
     def _fail(self, call: int) -> None:
-        self._requests.fail(call)
+        self._attempts.fail_call(call)
         self._decisions.handle(api.CallExpired(call))
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -4,7 +4,7 @@
 
 from maplestile.dispatch.api import Result
 from maplestile.wire.limits import HandoverLimits, Limits, RequestLimits
-from maplestile.wire.messages import Request, Verdict
+from maplestile.wire.messages import Outcome, Request, Verdict
 from tests.core_harness import START_US, CoreHarness
 
 
@@ -135,3 +135,26 @@
     harness.core.attempt_ended(harness.sent[0], Result.OK, b"one")
     assert [answer.verdict for answer in harness.answers] == [Verdict.REJECTED, Verdict.SERVED]
     assert len(harness.sent) == 1
+
+
+def fail_at_deadline(unwritten: bool) -> tuple[Outcome, CoreHarness]:
+    """Let a call reach its deadline with an attempt in flight; return its outcome."""
+    harness = CoreHarness()
+    harness.submit("test-submit", budget_us=1_000_000)
+    (attempt,) = harness.sent
+    if unwritten:
+        harness.unwritten_attempts.add(attempt)
+    harness.run(1_100_000)
+    (outcome,) = harness.answers
+    return outcome, harness
+
+
+def test_call_that_fails_with_a_written_attempt_in_flight_may_have_run() -> None:
+    """Guards against a repeat that runs a call again which its runner has had since before the deadline."""
+    outcome, harness = fail_at_deadline(unwritten=False)
+    assert outcome.may_have_run and not harness.core.in_flight
+
+
+def test_call_that_fails_with_an_unwritten_attempt_did_not_run() -> None:
+    outcome, harness = fail_at_deadline(unwritten=True)
+    assert not outcome.may_have_run and not harness.core.in_flight
--- a/tests/test_process_invoke_connections.py
+++ b/tests/test_process_invoke_connections.py
@@ -3,7 +3,15 @@
 import http.client
 import time
 
-from tests.invoke_fixture import PARTIAL_HEAD, REPEATABLE, TENANT, InvokeTestCase, invocations_path, post_head
+from tests.invoke_fixture import (
+    NEVER_REPEATED,
+    PARTIAL_HEAD,
+    REPEATABLE,
+    TENANT,
+    InvokeTestCase,
+    invocations_path,
+    post_head,
+)
 from tests.standins import PATIENCE_S, call_lines, eventually
 
 CLOSE_NOTICED_S = 0.3  # time for the router to notice a closed connection
@@ -75,3 +83,16 @@
         self.resume_workers()
         self.assertTrue(second.recv(100).startswith(b"HTTP/1.1 200 "))
         self.assertEqual(self.run_count(b"abc"), 1)
+
+    def test_key_of_a_call_that_was_running_at_its_deadline_runs_nothing_again(self) -> None:
+        """Guards against a `test-submit` that runs twice under one idempotency key."""
+        deadline_s = 1.0
+        headers = {"Idempotency-Key": "k3", "Maplestile-Deadline-Ms": str(int(1000 * deadline_s))}
+        lines = [f"POST {invocations_path(NEVER_REPEATED)} HTTP/1.1", "Host: h", "Content-Length: 5"]
+        lines += [f"{name}: {value}" for name, value in (headers | {"Maplestile-Tenant": TENANT}).items()]
+        first = self.connect_and_send("\r\n".join((*lines, "", "hang:")).encode())
+        eventually(lambda: self.run_count(b"hang:") == 1, "the run")
+        first.close()
+        time.sleep(deadline_s + CLOSE_NOTICED_S)
+        repeat = self.request("POST", invocations_path(NEVER_REPEATED), b"hang:", **headers)
+        self.assertEqual((repeat[0], self.run_count(b"hang:")), (504, 1))
