A deferred call that was accepted is kept, also where its first caller had left

Cause: InvokeApi._finish_recorded drops the record of an abandoned call that ends without having run, if no caller waits; it did not ask whether the invocation had been deferred after the first caller left.

Change: a record is wanted while a caller waits or the invocation is deferred; only an unwanted one is dropped.

Test: deferred_repeat_of_an_abandoned_call_keeps_its_record failed before the change (404, not 503). test_process_invoke passes.

--- a/maplestile/invoke/api.py
+++ b/maplestile/invoke/api.py
@@ -188,7 +188,8 @@
 
     def _finish_recorded(self, tenant: str, record: InvocationRecord, outcome: Outcome) -> None:
         self.in_flight[tenant] -= 1
-        if record.abandoned and not record.waiters and not outcome.may_have_run:
+        is_wanted = bool(record.waiters) or record.deferred or not record.abandoned
+        if not is_wanted and not outcome.may_have_run:
             self.store.drop(record)  # nothing ran and no caller got an answer, so the key may be used again
         else:
             self.store.finish(record, problems.response_to(outcome))
