A repeat under an open key is answered at its own deadline; records played in every order

Cause: InvokeApi let the repeat wait for the record, whose only deadline is the first call's.

Change: a repeat that gives less time has a timer of its own. At that it gets 504 and counts as a caller that leaves; the call goes on for those that wait longer.

--- a/maplestile/invoke/api.py
+++ b/maplestile/invoke/api.py
@@ -143,6 +143,9 @@
             respond(self.store.deliver(record))
             return do_nothing
         record.waiters.append(respond)
+        due_us = invocation.received_us + invocation.budget_us
+        if due_us < record.deadline_us:  # a repeat that gives less time than the first caller
+            self.core.call_at(due_us, lambda: self._expire_waiter(record, respond))
         return lambda: self._remove_waiter(record, respond)
 
     def _invoke_unrecorded(self, invocation: InvocationRequest, respond: Respond) -> CancelCall:
@@ -206,6 +209,12 @@
             record.abandoned = True
             self.core.client_disconnected(record.call)
 
+    def _expire_waiter(self, record: InvocationRecord, respond: Respond) -> None:
+        """Answer a caller whose own deadline has passed; the call goes on for those that wait longer."""
+        if respond in record.waiters:
+            self._remove_waiter(record, respond)
+            respond(problem(504, "the deadline lapsed"))
+
     def _check_tenant_quota(self, tenant: str) -> None:
         settings = self.operator.tenants.get(tenant)
         if settings is not None and settings.max_open and self.in_flight[tenant] >= settings.max_open:
--- a/tests/test_invocation_records.py
+++ b/tests/test_invocation_records.py
@@ -1,8 +1,15 @@
 """Tests of the life of invocation records: what a key, a deferred call and a waiting caller are promised."""
 
+import itertools
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from typing import TypeVar
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from maplestile.dispatch.api import Result
 from maplestile.invoke.api import InvokeApi
@@ -16,7 +23,10 @@
 OPERATOR = parse_settings((ROOT / "deploy" / "operator.toml").read_text())
 FUNCTION = "keep-result"  # of class `test-submit`, which must never run twice
 TENANT = "shapla-tutors"
+TICK_US = 100_000  # an answer may come this much after a deadline
 US_PER_MS = 1000
+INDEXES = st.integers(0, 5)
+T = TypeVar("T")
 
 
 class QueueingHarness(CoreHarness):
@@ -56,6 +66,15 @@
     responses: list[Response] = field(default_factory=list)
 
 
+@dataclass(eq=False)
+class AcceptedInvocation:
+    """A deferred invocation that was accepted with 202."""
+
+    path: str
+    kept_until_us: int
+    final: Response | None = None  # the first final answer that was collected
+
+
 class RecordsHarness:
     """An invoke API on a core whose attempts and clock the test moves."""
 
@@ -110,6 +129,154 @@
         self.core.core.attempt_ended(attempt, result, b"result of " + request.body)
 
 
+def _choose(candidates: Sequence[T], index: int) -> list[T]:
+    """Return one of the candidates, or nothing if there are none."""
+    return [candidates[index % len(candidates)]] if candidates else []
+
+
+class RecordMachine(RuleBasedStateMachine):
+    """Callers, repeats, leaves, attempts and time in every order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.records = RecordsHarness()
+        self.callers = list[Caller]()
+        self.accepted = list[AcceptedInvocation]()
+
+    def waiting(self) -> list[Caller]:
+        """Return the callers that wait for their response."""
+        return [caller for caller in self.callers if not caller.responses and not caller.has_left]
+
+    @rule(
+        key=st.sampled_from(["k1", "k1", "k2"]),
+        deferred=st.booleans(),
+        budget_ms=st.sampled_from([500, 2_000]),
+    )
+    def post(self, key: str, deferred: bool, budget_ms: int) -> None:
+        """Invoke the function, as the first caller of a key or as a repeat."""
+        records = self.records
+        is_new = not any(scope.key == key for scope in records.api.store.by_scope)
+        if is_new:
+            kept_until_us = records.core.now + budget_ms * US_PER_MS + OPERATOR.record_us
+            records.key_kept_until_us[key] = kept_until_us
+        caller = records.post(key, deferred, budget_ms)
+        self.callers.append(caller)
+        if deferred:
+            (response,) = caller.responses
+            assert response.status == 202
+            path = dict(response.headers)["Location"]
+            self.accepted.append(AcceptedInvocation(path, records.key_kept_until_us[key]))
+
+    @rule(index=INDEXES)
+    def leave(self, index: int) -> None:
+        """Close the connection of a caller that waits."""
+        for caller in _choose(self.waiting(), index):
+            caller.has_left = True
+            caller.leave()
+
+    @rule(index=INDEXES)
+    def write(self, index: int) -> None:
+        """Write a queued attempt."""
+        for attempt in _choose(sorted(self.records.core.unwritten_attempts), index):
+            self.records.write(attempt)
+
+    @rule(index=INDEXES, result=st.sampled_from([Result.OK, Result.FULL, Result.RESET]))
+    def answer(self, index: int, result: Result) -> None:
+        """Report the result of a written attempt, perhaps after its call has ended."""
+        for attempt in _choose(self.records.written, index):
+            self.records.answer(attempt, result)
+
+    @rule(step_ms=st.sampled_from([700, 2_100, 70_000]))
+    def pass_time(self, step_ms: int) -> None:
+        """Let time pass, with deadlines and the end of records."""
+        self.records.core.run(step_ms * US_PER_MS)
+        self.check_callers()
+
+    @invariant()
+    def accepted_invocations_are_known(self) -> None:
+        """Poll each accepted invocation: it is known for its time, and its final answer does not change."""
+        for invocation in self.accepted:
+            self.check_poll(invocation)
+
+    def check_poll(self, invocation: AcceptedInvocation) -> None:
+        """Check the response to one poll."""
+        response = self.records.get(invocation.path)
+        if self.records.core.now < invocation.kept_until_us:
+            assert response.status != 404, "an accepted invocation is unknown"
+        if response.status in (202, 404):
+            assert invocation.final is None or response.status == 404
+            return
+        assert invocation.final in (None, response), "a final answer has changed"
+        invocation.final = response
+
+    @rule(index=INDEXES)
+    def cancel(self, index: int) -> None:
+        """Cancel an accepted invocation, which may have ended."""
+        for invocation in _choose(self.accepted, index):
+            response = self.records.request("DELETE", invocation.path)
+            assert response.status in (204, 409) or self.records.core.now >= invocation.kept_until_us
+
+    def check_callers(self) -> None:
+        """Check that each caller got one response by its deadline, and no other key's result."""
+        for caller in self.callers:
+            due_us = caller.deadline_us + TICK_US
+            if not caller.has_left and self.records.core.now > due_us:
+                assert len(caller.responses) == 1, f"{len(caller.responses)} responses to {caller.key}"
+            for response in caller.responses:
+                if response.status == 200:
+                    assert response.body == b"result of " + caller.key.encode()
+
+    def teardown(self) -> None:
+        """Let every deadline and every record pass."""
+        self.records.core.run(OPERATOR.record_us + 10_000 * US_PER_MS)
+        self.check_callers()
+        assert not self.records.api.store.records
+
+
+class OrderOfEvents:
+    """Plays the events of a key in one order, each once and after a first call, by a machine's rules."""
+
+    def __init__(self, first_deferred: bool, repeat_deferred: bool, result: Result) -> None:
+        self.machine = machine = RecordMachine()
+        self.events: dict[str, Callable[[], None]] = {
+            "repeat": lambda: machine.post("k1", repeat_deferred, 500),
+            "leave": lambda: machine.leave(0),
+            "write": lambda: machine.write(0),
+            "answer": lambda: machine.answer(0, result),
+            "deadline of the repeat": lambda: machine.pass_time(700),
+            "deadline": lambda: machine.pass_time(2_100),
+            "expiry": lambda: machine.pass_time(70_000),
+        }
+        machine.post("k1", first_deferred, 2_000)
+
+    def play(self, order: tuple[str, ...]) -> None:
+        """Play the events, with all checks after each."""
+        for event in order:
+            self.events[event]()
+            self.machine.accepted_invocations_are_known()
+        self.machine.teardown()
+
+
+@pytest.mark.parametrize("result", [Result.OK, Result.FULL])
+@pytest.mark.parametrize("repeat_deferred", [False, True])
+@pytest.mark.parametrize("first_deferred", [False, True])
+def test_promises_hold_in_every_order_of_events(
+    first_deferred: bool, repeat_deferred: bool, result: Result
+) -> None:
+    events = OrderOfEvents(False, False, result).events
+    for order in itertools.permutations(events):
+        if order.index("write") > order.index("answer") or order.index("deadline") > order.index("expiry"):
+            continue  # without a written attempt there is no answer, and the deadline is over with the record
+        try:
+            OrderOfEvents(first_deferred, repeat_deferred, result).play(order)
+        except AssertionError as error:
+            raise AssertionError(f"{error}; order: {', '.join(order)}") from error
+
+
+TestRecords = RecordMachine.TestCase
+TestRecords.settings = settings(max_examples=400, stateful_step_count=30, deadline=None, derandomize=True)
+
+
 def test_deferred_repeat_of_an_abandoned_call_keeps_its_record() -> None:
     """Guards against a 202 whose Location is unknown once the call has ended without having run."""
     records = RecordsHarness()
@@ -121,3 +288,17 @@
     (response,) = records.post("k1", True, 2_000).responses
     records.answer(attempt, Result.FULL)
     assert records.get(dict(response.headers)["Location"]).status == 503
+
+
+def test_repeat_under_an_open_key_is_answered_at_its_own_deadline() -> None:
+    """Guards against a repeat that waits for the longer deadline of the first call."""
+    records = RecordsHarness()
+    first = records.post("k1", False, 5_000)
+    repeat = records.post("k1", False, 500)
+    records.core.run(600 * US_PER_MS)
+    assert [response.status for response in repeat.responses] == [504]
+    assert not first.responses
+    (attempt,) = records.core.sent
+    records.core.core.attempt_ended(attempt, Result.OK, b"result")
+    assert [response.status for response in first.responses] == [200]
+    assert len(repeat.responses) == 1
