No connection is evicted while an answer to its client is unsent

Cause: a connection counted as idle once the kernel had taken its answers, though they were still in its send queue. The eviction closed it; the client's next request met a reset, and the kernel discarded the rest of the answer. A drain looked at the process's own buffer alone as well.

Change: ClientTable and HttpFront ask the kernel for the bytes that are not sent (SIOCOUTQNSD, socket_queues.py), and pass such connections over. PlatformFront.has_unread_answers, which drains wait for, counts them too.

Tests, which failed before: evicts_another_client_than_one_with_undelivered_answers, evicts_slow_client_only_once_it_has_its_answers_or_has_stalled, drain_waits_for_undelivered_answers, connection_with_an_undelivered_response_is_not_evicted.

--- a/maplestile/net/client.py
+++ b/maplestile/net/client.py
@@ -1,14 +1,12 @@
 """Keeps the state of a client connection at the platform front, and checks its socket."""
 
-import array
 import asyncio
 import contextlib
-import fcntl
 import socket
-import termios
 from dataclasses import dataclass, field
 
 from maplestile.net.client_reader import ClientReader
+from maplestile.net.socket_queues import RECEIVE_QUEUE, queued_bytes, undelivered_bytes
 from maplestile.requests.core import Presence
 from maplestile.wire import jsonrpc
 
@@ -42,17 +40,29 @@
     written_bytes: int = 0  # answer bytes written to the transport
     sent_bytes: int = 0  # answer bytes that the kernel had accepted at the last check
     unread_since_us: int = 0  # since when the kernel has accepted none of the buffered answers
+    undelivered_at_check: int = 0  # answer bytes that had not been sent at the last check
+    undelivered_since_us: int = 0  # since when that number has been the same
     write_closed: bool = False  # the router has closed its write side
     is_handling: bool = False  # some messages of the last read are not handled yet
 
     def unread_input_bytes(self) -> int:
         """Return how many bytes of input are unread, in the stream reader and in the socket."""
-        in_socket = array.array("i", [0])
-        descriptor = self.writer.get_extra_info("socket").fileno()
-        if descriptor >= 0:  # negative once the socket is closed, which the reading task may not know yet
-            with contextlib.suppress(OSError):  # connection lost, or FIONREAD not supported
-                fcntl.ioctl(descriptor, termios.FIONREAD, in_socket)
-        return self.reader.buffered_bytes + in_socket[0]
+        return self.reader.buffered_bytes + queued_bytes(self.writer, RECEIVE_QUEUE)
+
+    def undelivered_bytes(self) -> int:
+        """Return how many bytes of answers have not been sent, for example since the client reads slowly."""
+        return undelivered_bytes(self.writer)
+
+    def has_stalled(self, now_us: int, timeout_us: int) -> bool:
+        """Return whether no more of the client's answers could be sent for `timeout_us`.
+
+        Progress is noticed only by calling this.
+        """
+        undelivered = self.undelivered_bytes()
+        if undelivered != self.undelivered_at_check:
+            self.undelivered_at_check = undelivered
+            self.undelivered_since_us = now_us
+        return now_us - self.undelivered_since_us > timeout_us
 
     def unsent_bytes(self, now_us: int) -> int:
         """Return how many bytes of answers the kernel has not accepted, and update `unread_since_us`."""
--- a/maplestile/net/client_table.py
+++ b/maplestile/net/client_table.py
@@ -49,13 +49,16 @@
     def evict_idle(self) -> bool:
         """Close one connection without a pending request or unread input; return whether there was one.
 
-        A request that was read, or that is arriving in pieces, must not be dropped for a new connection. If
-        no connection is idle, one whose client has stalled while reading answers or sending a request is
-        closed instead.
+        A request that was read, or that is arriving in pieces, must not be dropped for a new connection, and
+        no answer that is still on its way. If no connection is idle, one whose client has stalled while
+        reading answers or sending a request is closed instead.
         """
         candidates = self._eviction_candidates()
         return (
-            self._evict_first_idle(candidates) or self._abort_unread() or self._evict_unfinished(candidates)
+            self._evict_first_idle(candidates)
+            or self._abort_unread()
+            or self._evict_stalled_reader(candidates)
+            or self._evict_unfinished(candidates)
         )
 
     def _eviction_candidates(self) -> list[Client]:
@@ -79,9 +82,12 @@
         return EvictionRank.WAITING if silent_us > self.limits.clients.first_request_us else EvictionRank.NEW
 
     def _evict_first_idle(self, candidates: list[Client]) -> bool:
-        """Close the first candidate whose input has all been handled; return whether there was one."""
+        """Close the first candidate without unhandled input or undelivered answers, if there is one.
+
+        If an answer is undelivered, the kernel would discard it when the client sends its next request.
+        """
         for client in candidates:
-            if not client.has_unhandled_input():
+            if not client.has_unhandled_input() and not client.undelivered_bytes():
                 self.counters["clients.idle_evicted"] += 1
                 self._evict(client)
                 return True
@@ -99,6 +105,18 @@
                 return True
         return False
 
+    def _evict_stalled_reader(self, candidates: list[Client]) -> bool:
+        """Close a connection whose client has stopped reading its answers, if there is one."""
+        now_us = self.clock()
+        timeout_us = self.limits.clients.unread_eviction_us
+        stalled = [client for client in candidates if client.has_stalled(now_us, timeout_us)]
+        for client in stalled:
+            if not client.has_unhandled_input():
+                self.counters["clients.stalled_evicted"] += 1
+                self._evict(client)
+                return True
+        return False
+
     def _evict_unfinished(self, candidates: list[Client]) -> bool:
         """Close a connection whose incomplete request has stalled, if there is one."""
         since_us = self.clock() - self.limits.clients.unfinished_eviction_us
--- a/maplestile/net/http.py
+++ b/maplestile/net/http.py
@@ -14,6 +14,7 @@
     HttpConnection,
 )
 from maplestile.net.listen import Listener, listen
+from maplestile.net.socket_queues import undelivered_bytes
 from maplestile.wire.http import Application
 
 log = logging.getLogger(__name__)
@@ -84,10 +85,11 @@
     def _evict_idle(self) -> bool:
         """Close the connection that has been idle longest; return whether there was one.
 
+        One whose last response is not sent completely is not idle: its next request would meet a reset.
         On a front that serves one call per connection, it may also be one with an incomplete request.
         """
         state = self.state
-        oldest = next(iter(state.idle), None)
+        oldest = next((idle for idle in state.idle if not undelivered_bytes(idle.writer)), None)
         if oldest is None and state.bounds.one_call:
             oldest = next(iter(state.receiving), None)
         if oldest is None:
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -89,8 +89,8 @@
         return self.table.evict_idle()
 
     def has_unread_answers(self) -> bool:
-        """Return whether any answer has not been accepted by the kernel yet."""
-        return bool(self.table.flushing) or self.table.unsent_bytes() > 0
+        """Return whether any answer has not been sent to its client completely."""
+        return bool(self.table.flushing) or any(client.undelivered_bytes() for client in self.clients)
 
     def has_open_connections(self) -> bool:
         """Return whether the write side of any connection is still open."""
--- a/tests/test_front_eviction.py
+++ b/tests/test_front_eviction.py
@@ -1,7 +1,9 @@
 """Tests of eviction at the platform front: which connection is closed for a new one at the limit."""
 
 import asyncio
+import socket
 
+from maplestile.dispatch.api import Result
 from maplestile.net.client_reader import ClientReader
 from maplestile.wire.jsonrpc import REFUSED
 from tests.front_fixture import (
@@ -13,9 +15,11 @@
     changed_limits,
     error_code,
 )
-from tests.standins import wait_until
+from tests.standins import PATIENCE_S, wait_until
 from tests.test_machines import framed, message
 
+ANSWER_BYTES = 30_000  # more than the receive buffer of a slow client, and less than the send buffer
+
 
 class EvictionTest(FrontTestCase):
     """The limit `CLIENT_LIMITS.connections` is two connections."""
@@ -148,3 +152,60 @@
         self.assertEqual(lost.writer.get_extra_info("socket").fileno(), -1)
         self.assertTrue(self.front.evict_idle())
         self.assertEqual(list(self.front.clients), [idle])
+
+
+class SlowReaderTest(FrontTestCase):
+    """Clients that have not received all of their answers when a connection is needed."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.slow = socket.socket()
+        self.addCleanup(self.slow.close)
+        self.slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.slow.connect(self.server.address)
+        self.slow.sendall(CALL_FRAME)
+        await self.wait_until_calls_are_open()
+        self.harness.core.attempt_ended(self.harness.sent[0], Result.OK, bytes(ANSWER_BYTES))
+        (self.accepted,) = self.front.clients
+        await wait_until(lambda: not self.accepted.unsent_bytes(0))  # the kernel has taken all of it
+        self.assertGreater(self.accepted.undelivered_bytes(), 0)
+
+    async def read_answer(self) -> bytes:
+        """Have the slow client read its whole answer."""
+        self.slow.setblocking(False)
+        answer = b""
+        async with asyncio.timeout(PATIENCE_S):
+            while not answer.endswith(b"}}"):
+                answer += await asyncio.get_running_loop().sock_recv(self.slow, 1 << 20)
+        return answer
+
+    async def test_evicts_another_client_than_one_with_undelivered_answers(self) -> None:
+        """Guards against a reset in the midst of an answer, when a request meets the closed connection."""
+        idle = await self.connect()
+        await idle.check()  # used later than the slow client
+        self.assertTrue(self.front.evict_idle())
+        self.assertTrue(await idle.is_closed())
+        self.assertEqual(list(self.front.clients), [self.accepted])
+        self.slow.sendall(CALL_FRAME)  # would meet a reset
+        await self.wait_until_calls_are_open()
+        self.assertIn(b'"result"', await self.read_answer())
+
+    async def test_evicts_slow_client_only_once_it_has_its_answers_or_has_stalled(self) -> None:
+        self.assertFalse(self.front.evict_idle())
+        self.harness.now += CLIENT_LIMITS.unread_eviction_us
+        self.slow.recv(2048)  # it reads on
+        await wait_until(self.has_progressed)
+        self.assertFalse(self.front.evict_idle())
+        self.harness.now += CLIENT_LIMITS.unread_eviction_us + 1
+        self.assertTrue(self.front.evict_idle())
+
+    def has_progressed(self) -> bool:
+        """Have the slow client read, and return whether more of the answer was sent."""
+        before = self.accepted.undelivered_bytes()
+        self.slow.recv(4096)
+        return self.accepted.undelivered_bytes() < before
+
+    async def test_drain_waits_for_undelivered_answers(self) -> None:
+        self.assertTrue(self.front.has_unread_answers())
+        await self.read_answer()
+        await wait_until(lambda: not self.front.has_unread_answers())
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,14 +1,17 @@
 """Tests of the HTTP front without an application: slow requests, and requests that cross the close."""
 
 import asyncio
+import socket
 import unittest
 from collections import Counter
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import cast
 
 from maplestile.common.loop_errors import LoopErrorReporter
 from maplestile.net.http import HttpFront
-from maplestile.wire.http import Application, FrontLimits
+from maplestile.net.socket_queues import undelivered_bytes
+from maplestile.wire.http import Application, FrontLimits, Response
 from tests.standins import PATIENCE_S, wait_until
 
 
@@ -52,6 +55,32 @@
         for _, writer in connections:
             writer.close()
 
+    async def test_connection_with_an_undelivered_response_is_not_evicted(self) -> None:
+        """Guards against a reset in the midst of a response that its caller reads slowly."""
+        counters = Counter[str]()
+        bounds = FrontLimits(1, 60.0, 10_000_000, 100, 100_000, 16)
+
+        def respond_at_once(_request: object, respond: Callable[[Response], None]) -> Callable[[], None]:
+            respond(Response(200, bytes(30_000)))
+            return lambda: None
+
+        api = SimpleNamespace(bounds=bounds, handle=respond_at_once)
+        http = HttpFront("invoke", cast(Application, api), counters, lambda: 0)
+        server = await http.start("127.0.0.1", 0)
+        self.addCleanup(server.close)
+        slow = socket.socket()
+        self.addCleanup(slow.close)
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        slow.connect(server.address)
+        slow.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await wait_until(lambda: any(undelivered_bytes(idle.writer) for idle in http.state.idle))
+        async with asyncio.timeout(PATIENCE_S):
+            reader, writer = await asyncio.open_connection(*server.address)
+            with self.assertRaises((asyncio.IncompleteReadError, ConnectionError)):
+                await reader.readexactly(1)
+            writer.close()
+        self.assertEqual((counters["invoke.rejected"], counters["invoke.idle_evicted"]), (1, 0))
+
     async def test_request_that_expects_100_continue_and_crosses_close_ends_cleanly(self) -> None:
         """Guards against a `100 Continue` written to a connection whose write side is closed."""
         counters = Counter[str]()
