A successor never acts on an older endpoint list than its predecessor's

Cause: the processes of an upgrade shared their cordons, not the endpoint list. The successor waits 3.5 s for the name server, and then follows the list of its configuration, which is that of the start.

Change: the process that serves leaves its list in the state folder at each change, with its serial and its name server (SharedEndpoints). A successor reads it at its start and at each change until it is alone: a newer list replaces its own, of another the drains apply. There is no file without an operators' front.

--- a/maplestile/operation/handover.py
+++ b/maplestile/operation/handover.py
@@ -58,6 +58,11 @@
         self._locks = locks
         self.poll()
 
+    @property
+    def is_alone(self) -> bool:
+        """Whether this process has no predecessor."""
+        return self.stage is HandoverStage.ALONE
+
     @property
     def process_count(self) -> int:
         """The number of processes that share the budgets of descriptors and memory: 1 or 2."""
--- a/maplestile/requests/endpoint_list.py
+++ b/maplestile/requests/endpoint_list.py
@@ -82,6 +82,24 @@
         self.entries = dict(other.entries)
         self.addresses = dict(other.addresses)
 
+    def adopt(self, other: "EndpointList") -> bool:
+        """Apply the list of a predecessor if it is newer, else its drains; return whether anything changed.
+
+        A process that drains never serves again, so the drains of an older list hold too.
+        """
+        if self.version != other.version and not self.is_newer_than(other.version):
+            self.replace(other)
+            return True
+        draining = [uid for uid, entry in other.entries.items() if self._has_drained(entry)]
+        self.drain(draining)
+        return bool(draining)
+
+    def as_updates(self) -> dict[str, Any]:
+        """Return the list in the form of the configuration's `known`, as one update event."""
+        targets = [_encode_target(entry, self.addresses[uid]) for uid, entry in self.entries.items()]
+        update = {"index": self.version, "endpoints": {"all": True, "targets": targets}}
+        return {"index": self.version, "updates": [update]}
+
     def visible_entries(self) -> tuple[api.WorkerEntry, ...]:
         """Return the entries for dispatcher and pool; cordoned runners are draining, whatever is listed."""
         draining = api.WorkerState.DRAINING
@@ -106,6 +124,17 @@
             self._set_entry(*_decode_target(target))
         self.version = max(self.version, int(update["index"]))
 
+    def _has_drained(self, other: api.WorkerEntry) -> bool:
+        """Return whether a process that is listed here as running drains by an entry of another list."""
+        known = self.entries.get(other.worker)
+        is_same_process = known is not None and known.started_us == other.started_us
+        return (
+            is_same_process
+            and known is not None
+            and known.state is api.WorkerState.RUNNING
+            and other.state is api.WorkerState.DRAINING
+        )
+
     def _clear(self) -> None:
         self.entries.clear()
         self.addresses.clear()
@@ -122,6 +151,20 @@
         self.addresses[entry.worker] = address
 
 
+def _encode_target(entry: api.WorkerEntry, address: Address) -> dict[str, Any]:
+    """Return one runner of an update event; see `_decode_target`."""
+    return {
+        "uid": entry.worker,
+        "endpoint": f"{address[0]}:{address[1]}",
+        "az": entry.zone,
+        "model": entry.kind,
+        "pod_group": entry.cell,
+        "state": next(name for name, state in STATES.items() if state is entry.state),
+        "capacity_hint": entry.weight,
+        "boot_ms": entry.started_us // US_PER_MS,
+    }
+
+
 def _decode_target(target: Mapping[str, Any]) -> tuple[api.WorkerEntry, Address]:
     """Decode one runner of an update event; return its entry and address."""
     host, _, port = str(target.get("endpoint", "")).rpartition(":")
--- a/maplestile/router/components.py
+++ b/maplestile/router/components.py
@@ -23,6 +23,7 @@
     from maplestile.net.http import HttpFront
     from maplestile.operation.cordons import Cordons
     from maplestile.operation.handover import Handover
+    from maplestile.operation.shared_endpoints import SharedEndpoints
     from maplestile.router.policy_driver import PolicyDriver
 
 
@@ -57,6 +58,7 @@
         self.invoke: InvokeFront | None = None
         self.cordons: Cordons | None = None
         self.handover: Handover | None = None
+        self.shared_endpoints: SharedEndpoints | None = None  # created together with the handover
         self.peers: GossipDriver | None = None
         self.policy: PolicyDriver | None = None
         self._tick_timer: asyncio.TimerHandle | None = None
@@ -83,6 +85,19 @@
         if self.peers is not None:
             self.peers.set_runners(self.endpoints.entries)
         self.core.list_changed(self.endpoints.event(kind))
+        self.save_endpoints()
+
+    def save_endpoints(self) -> None:
+        """Leave the endpoint list to a successor, if this process serves alone."""
+        if self.shared_endpoints is not None and self.handover is not None and self.handover.is_alone:
+            self.shared_endpoints.save(self.endpoints, self.config.dns)
+
+    def adopt_endpoints(self) -> bool:
+        """Apply what the predecessor knows of the endpoints; return whether anything changed."""
+        if self.shared_endpoints is None or self.handover is None or self.handover.is_alone:
+            return False
+        shared = self.shared_endpoints.load_if_changed(self.config.dns)
+        return shared is not None and self.endpoints.adopt(shared)
 
     def free_descriptor(self) -> None:
         """Free a file descriptor by closing an idle client connection, when the router needs one."""
--- a/maplestile/router/fronts.py
+++ b/maplestile/router/fronts.py
@@ -69,6 +69,7 @@
     """Load the cordons from the configured folder, and join the handover between processes that share it."""
     from maplestile.operation.cordons import Cordons
     from maplestile.operation.handover import Handover
+    from maplestile.operation.shared_endpoints import SharedEndpoints
     from maplestile.operation.state_folder import FileCordonStore, ProcessLocks
 
     config = components.config
@@ -84,6 +85,9 @@
         components.handover = Handover(ProcessLocks(config.folder))
     except OSError as error:
         log.warning("%s cannot be replaced while it serves: %s", components.name, error)
+        return
+    components.shared_endpoints = SharedEndpoints(config.folder, components.counters)
+    components.adopt_endpoints()
 
 
 async def _open_platform_front(components: Components, readiness: Readiness) -> Listener:
--- a/maplestile/router/takeover.py
+++ b/maplestile/router/takeover.py
@@ -49,6 +49,10 @@
         self._poll_locks()
         if self.handover.stage is not stage_before:
             log.info("%s: %s", components.name, self.handover.stage.value)
+            components.save_endpoints()
+        if components.adopt_endpoints():
+            log.info("%s: the endpoint list of the other process is newer, and applies", components.name)
+            components.publish_endpoints()
         process_count = self.handover.process_count
         if process_count != components.process_count:
             log.info("%s: splitting the limits into budgets for %d processes", components.name, process_count)
--- a/tests/operation_fixture.py
+++ b/tests/operation_fixture.py
@@ -130,6 +130,12 @@
     return [fault for caller in callers for fault in caller.faults]
 
 
+def serve_calls(client: Client, count: int) -> None:
+    """Call `count` functions, each until it is served."""
+    for n in range(count):
+        client.call_until_served("review", b"x", item=f"f{n}")
+
+
 class OperationTestCase(unittest.TestCase):
     """A test case with two workers and a router that has an operators' front and a shared folder."""
 
--- a/tests/test_process_handover.py
+++ b/tests/test_process_handover.py
@@ -11,6 +11,7 @@
     change_runner,
     request_operator,
     scrape_metrics,
+    serve_calls,
     start_callers,
     stop_callers,
     wait_until_ready,
@@ -161,3 +162,28 @@
         other.close()
         self.assertEqual((client.read() or {})["id"], pending_id)  # the pending call was answered
         self.assertEqual(self.program.process.wait(PATIENCE_S), 0)
+
+    def test_successor_of_a_process_with_a_newer_list_calls_no_runner_that_drains_by_it(self) -> None:
+        """Guards against calls to a drained runner while the name server is silent during an upgrade."""
+        wait_until_ready(self.program)
+        uid, port, _ = self.names.workers[0]
+        self.names.serial += 1
+        self.names.workers[0] = (uid, port, 1)  # it drains
+        client = self.connect()
+        eventually(lambda: self.serves_without_first_worker(client), "the drain at the first process")
+        self.names.lose_queries()
+        successor = self.start_router(self.program.port("platform"))
+        wait_until_ready(successor)
+        self.program.process.terminate()
+        self.assertEqual(self.program.process.wait(PATIENCE_S), 0)
+        ran = len(self.workers[0].ran)
+        client = Client(successor.port("platform"))
+        self.addCleanup(client.close)
+        serve_calls(client, 12)
+        self.assertEqual(len(self.workers[0].ran), ran)
+
+    def serves_without_first_worker(self, client: Client) -> bool:
+        """Make some calls, and return whether the first worker ran none of them."""
+        ran = len(self.workers[0].ran)
+        serve_calls(client, 6)
+        return len(self.workers[0].ran) == ran
--- a/tests/test_process_operation.py
+++ b/tests/test_process_operation.py
@@ -18,6 +18,7 @@
     change_runner,
     request_operator,
     scrape_metrics,
+    serve_calls,
     wait_until_ready,
 )
 from tests.standins import (
@@ -36,12 +37,6 @@
 REJECTED_WITHIN_S = 3.0  # less than the latency objective of 4 s, until which a call may be held
 
 
-def serve_calls(client: Client, count: int) -> None:
-    """Call `count` functions, each until it is served."""
-    for n in range(count):
-        client.call_until_served("review", b"x", item=f"f{n}")
-
-
 def long_call_frame(id_: int) -> bytes:
     """Encode a call whose result is long."""
     blob = in_base64(b"long:")
