A drain waits for the rest of a response that an HTTP caller reads slowly

Cause: HttpFront counted a connection as gone as soon as its last response was handed to the transport. Up to 64 KB of it may be in the process's own buffer then; the drain saw no connection, the process exited, and that part was lost.

Change: a connection counts until the kernel has taken all of its last response, for 10 s at most; a process that exits by cancellation aborts it. stream_close.flush_and_close does it for both fronts, in place of code of the platform's own; half_close.py has that name now, since it holds both ways to close.

--- a/maplestile/net/graceful_close.py
+++ b/maplestile/net/graceful_close.py
@@ -6,7 +6,7 @@
 
 from maplestile.net.client import Client
 from maplestile.net.client_table import ClientTable
-from maplestile.net.half_close import close_write_side
+from maplestile.net.stream_close import close_write_side
 
 
 class GracefulClose:
--- a/maplestile/net/http.py
+++ b/maplestile/net/http.py
@@ -15,6 +15,7 @@
 )
 from maplestile.net.listen import Listener, listen
 from maplestile.net.socket_queues import undelivered_bytes
+from maplestile.net.stream_close import flush_and_close
 from maplestile.wire.http import Application
 
 log = logging.getLogger(__name__)
@@ -77,10 +78,15 @@
             await connection.run()
         except (ClientDisconnected, OSError, TimeoutError) as error:
             log.debug("%s client: connection ended: %r", state.name, error)
+        except asyncio.CancelledError:  # the process is exiting
+            writer.transport.abort()
+            raise
         finally:
-            self.connections -= 1
             state.receiving.pop(connection, None)
-            writer.close()
+            try:
+                await flush_and_close(writer, WRITE_TIMEOUT_S)
+            finally:
+                self.connections -= 1
 
     def _evict_idle(self) -> bool:
         """Close the connection that has been idle longest; return whether there was one.
--- a/maplestile/net/http_connection.py
+++ b/maplestile/net/http_connection.py
@@ -9,7 +9,7 @@
 import h11
 
 from maplestile.net import bounded_reads
-from maplestile.net.half_close import close_write_side
+from maplestile.net.stream_close import close_write_side
 from maplestile.wire.http import Application, FrontLimits, HttpRequest, Response, problem
 
 log = logging.getLogger("maplestile.net.http")
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -1,7 +1,6 @@
 """Serves the platform front: JSON-RPC connections of clients, whose requests are passed to the core."""
 
 import asyncio
-import contextlib
 import logging
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -18,6 +17,7 @@
 from maplestile.net.graceful_close import GracefulClose
 from maplestile.net.listen import Listener, listen
 from maplestile.net.request_handler import RequestHandler
+from maplestile.net.stream_close import flush_and_close
 from maplestile.requests.core import Core
 from maplestile.wire import jsonrpc
 from maplestile.wire.limits import Limits
@@ -144,17 +144,11 @@
         client.writer.close()
 
     async def _flush(self, client: Client) -> None:
-        """Wait for a limited time until the client has read its last answers.
-
-        Without the limit, a client that never reads would hold a file descriptor and keep the process alive.
-        """
+        """Wait for a limited time until the client has read its last answers."""
         self.table.flushing[client] = None
         try:
-            with contextlib.suppress(OSError, TimeoutError):
-                async with asyncio.timeout(self.limits.clients.close_us / 1e6):
-                    await client.writer.wait_closed()
+            await flush_and_close(client.writer, self.limits.clients.close_us / 1e6)
         finally:
-            client.writer.transport.abort()
             self.table.flushing.pop(client, None)
 
     async def _reject_malformed(self, client: Client, error: jsonrpc.FramingError) -> None:
--- a/maplestile/net/half_close.py
+++ b/maplestile/net/stream_close.py
@@ -1,10 +1,11 @@
-"""Closes the write side of connections that the peer may have reset.
+"""Closes connections whose peer may have reset them, or may still be reading what was written.
 
 The event loop learns of a reset only with its next read. Until then the socket looks open, but the kernel
 rejects a half-close with ENOTCONN.
 """
 
 import asyncio
+import contextlib
 import logging
 
 log = logging.getLogger(__name__)
@@ -23,3 +24,17 @@
         writer.transport.abort()
         return False
     return True
+
+
+async def flush_and_close(writer: asyncio.StreamWriter, timeout_s: float) -> None:
+    """Close a connection once the kernel has taken what was written, at the latest after `timeout_s`.
+
+    Without the limit, a peer that never reads would hold a file descriptor and keep the process alive.
+    """
+    try:
+        writer.close()
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await writer.wait_closed()
+    finally:
+        writer.transport.abort()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 import unittest
 from collections import Counter
 from collections.abc import Callable
@@ -14,6 +15,8 @@
 from maplestile.wire.http import Application, FrontLimits, Response
 from tests.standins import PATIENCE_S, wait_until
 
+LONG_RESPONSE_BYTES = 200_000
+
 
 class HttpFrontTest(unittest.IsolatedAsyncioTestCase):
     """Connections with incomplete requests."""
@@ -101,3 +104,46 @@
             writer.close()
             await wait_until(lambda: not http.connections)
         self.assertEqual(counters["loop.errors"], 0)
+
+    async def test_graceful_close_waits_for_the_rest_of_a_response_that_is_read_slowly(self) -> None:
+        """Guards against a process that exits with the end of a response in its own buffer."""
+        bounds = FrontLimits(4, 60.0, 10_000_000, 100, 100_000, 16)
+
+        def respond_at_once(_request: object, respond: Callable[[Response], None]) -> Callable[[], None]:
+            respond(Response(200, bytes(LONG_RESPONSE_BYTES)))
+            return lambda: None
+
+        api = SimpleNamespace(bounds=bounds, handle=respond_at_once)
+        http = HttpFront("invoke", cast(Application, api), Counter[str](), lambda: 0)
+        server = await http.start("127.0.0.1", 0)
+        http.start_draining()
+        writers = list[asyncio.StreamWriter]()
+        serve = http._serve
+
+        async def serve_and_record(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            await serve(reader, writer)
+
+        server.serve = serve_and_record
+        slow = socket.socket()
+        self.addCleanup(slow.close)
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        slow.connect(server.address)
+        slow.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        received = asyncio.create_task(asyncio.to_thread(read_slowly, slow))
+        async with asyncio.timeout(PATIENCE_S):
+            await wait_until(lambda: bool(writers))
+            await http.close_gracefully(server)
+            self.assertEqual(writers[0].transport.get_write_buffer_size(), 0)  # lost if the process exits
+            self.assertGreater(len(await received), LONG_RESPONSE_BYTES)
+
+
+def read_slowly(connection: socket.socket) -> bytes:
+    """Read a response to its end, in small pieces with pauses between them."""
+    received = bytearray()
+    while data := connection.recv(4_000):
+        received += data
+        time.sleep(0.02)
+    return bytes(received)
