A successor keeps a list whose serial has wrapped, and only unsent answers count as stalled

Cause, found on reading the change again: EndpointList.replace keeps the higher of two versions, so a list that is newer by RFC 1982 but lower would have been adopted anew at each change of the file. Client.has_stalled was true for a client with nothing unsent; its only caller looked at such clients last, and passed them over for another reason.

Change: adopt takes the version of the list that it applies; has_stalled asks for unsent bytes.

Test: successor_adopts_a_list_whose_serial_has_wrapped failed before the change. test_shared_endpoints and test_front_eviction pass.

--- a/maplestile/net/client.py
+++ b/maplestile/net/client.py
@@ -62,7 +62,7 @@
         if undelivered != self.undelivered_at_check:
             self.undelivered_at_check = undelivered
             self.undelivered_since_us = now_us
-        return now_us - self.undelivered_since_us > timeout_us
+        return undelivered > 0 and now_us - self.undelivered_since_us > timeout_us
 
     def unsent_bytes(self, now_us: int) -> int:
         """Return how many bytes of answers the kernel has not accepted, and update `unread_since_us`."""
--- a/maplestile/requests/endpoint_list.py
+++ b/maplestile/requests/endpoint_list.py
@@ -89,6 +89,7 @@
         """
         if self.version != other.version and not self.is_newer_than(other.version):
             self.replace(other)
+            self.version = other.version  # which is lower after the serials have wrapped
             return True
         draining = [uid for uid, entry in other.entries.items() if self._has_drained(entry)]
         self.drain(draining)
@@ -127,13 +128,9 @@
     def _has_drained(self, other: api.WorkerEntry) -> bool:
         """Return whether a process that is listed here as running drains by an entry of another list."""
         known = self.entries.get(other.worker)
-        is_same_process = known is not None and known.started_us == other.started_us
-        return (
-            is_same_process
-            and known is not None
-            and known.state is api.WorkerState.RUNNING
-            and other.state is api.WorkerState.DRAINING
-        )
+        if known is None or known.started_us != other.started_us:
+            return False
+        return known.state is api.WorkerState.RUNNING and other.state is api.WorkerState.DRAINING
 
     def _clear(self) -> None:
         self.entries.clear()
--- a/tests/test_shared_endpoints.py
+++ b/tests/test_shared_endpoints.py
@@ -78,6 +78,13 @@
     assert own == endpoints(4, a=DRAINING)
 
 
+def test_successor_adopts_a_list_whose_serial_has_wrapped() -> None:
+    own = endpoints((1 << 32) - 1, a=RUNNING)
+    assert own.adopt(endpoints(2, b=RUNNING))
+    assert own == endpoints(2, b=RUNNING)
+    assert not own.adopt(endpoints(2, b=RUNNING))
+
+
 @pytest.mark.parametrize("version", [2, 3])
 def test_of_a_list_that_is_not_newer_only_drains_of_the_same_process_apply(version: int) -> None:
     own = endpoints(3, a=RUNNING, b=RUNNING)
