Tests close sockets by a reset in one way, which the stand-ins hold

No check has changed. test_front, test_command_server, test_reset_connections, test_process_operation and test_pool pass.

--- a/tests/standins/__init__.py
+++ b/tests/standins/__init__.py
@@ -3,6 +3,7 @@
 from tests.standins.client import ITEM, REFUSED, Client, connect_idle_clients
 from tests.standins.name_server import NameServer, name_bytes, record
 from tests.standins.program import ROOT, Program
+from tests.standins.resets import reset_on_close
 from tests.standins.router_config import params, start_router, target
 from tests.standins.waiting import PATIENCE_S, eventually, wait_until
 from tests.standins.worker import LONG_ANSWER_BYTES, HoldingWorker, Worker, call_lines, in_base64
@@ -25,6 +26,7 @@
     "name_bytes",
     "params",
     "record",
+    "reset_on_close",
     "start_router",
     "target",
     "wait_until",
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -3,11 +3,12 @@
 import base64
 import json
 import socket
-import struct
 import threading
 from collections.abc import Iterator
 from typing import Any
 
+from tests.standins.resets import reset_on_close
+
 LONG_ANSWER_BYTES = 230_000
 READ_BYTES = 1 << 16
 
@@ -114,7 +115,7 @@
         self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
         for peer in self.open:
-            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            reset_on_close(peer)
             peer.shutdown(socket.SHUT_RD)
             peer.close()
 
--- a/tests/test_command_server.py
+++ b/tests/test_command_server.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import socket
-import struct
 import unittest
 from collections import Counter
 from typing import Any
@@ -11,9 +10,8 @@
 from maplestile.agent.command_client import send_command
 from maplestile.agent.command_results import ProcessStatuses
 from maplestile.agent.command_server import AgentCommand, CommandServer
-from tests.standins import PATIENCE_S, wait_until
+from tests.standins import PATIENCE_S, reset_on_close, wait_until
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a time of 0
 NESTED_TOO_DEEPLY = b"[" * 60_000 + b"\n"
 
 
@@ -56,7 +54,7 @@
         """Guards against resets of the command line's connections that leave no counter."""
         client = self.send(json.dumps({"do": "status", "instances": []}).encode() + b"\n")
         await wait_until(lambda: self.waiting == 1)
-        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        reset_on_close(client)
         client.close()
         await asyncio.sleep(0.05)  # for the event loop to read the reset
         self.may_answer.set()
@@ -64,7 +62,7 @@
 
     async def test_reset_before_the_command_is_complete_ends_that_connection_alone(self) -> None:
         client = self.send(b'{"do": ')
-        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        reset_on_close(client)
         client.close()
         await self.assert_serves(1)
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import socket
-import struct
 from typing import Any
 
 from maplestile.dispatch.api import Result
@@ -18,11 +17,9 @@
     call_frame,
     changed_limits,
 )
-from tests.standins import PATIENCE_S, wait_until
+from tests.standins import PATIENCE_S, reset_on_close, wait_until
 from tests.test_machines import framed, message
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a timeout of 0 s
-
 
 class MessagesTest(FrontTestCase):
     """Answers, ids and limits of one connection."""
@@ -121,7 +118,7 @@
         client.send(b"Content-")
         self.assertIn("error", await client.read_answer())
         connection = client.writer.get_extra_info("socket")
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        reset_on_close(connection)
         client.writer.transport.abort()
         await self.wait_until_disconnected()
         await asyncio.sleep(0)
--- a/tests/test_process_operation.py
+++ b/tests/test_process_operation.py
@@ -5,7 +5,6 @@
 import io
 import json
 import socket
-import struct
 import sys
 import tempfile
 import time
@@ -31,6 +30,7 @@
     call_lines,
     eventually,
     in_base64,
+    reset_on_close,
 )
 
 LONG_CALLS = 8
@@ -102,7 +102,7 @@
         client = Client(self.program.port("platform"))
         client.call("test-submit", b"hang:")
         eventually(lambda: scrape_metrics(self.program)["svc_inflight"] == 1, "the call in flight")
-        client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        reset_on_close(client.socket)
         client.close()  # by a reset: after a half-close the client may still wait for its answer
         eventually(lambda: scrape_metrics(self.program)["svc_inflight"] == 0, "the end of the call")
 
--- a/tests/test_reset_connections.py
+++ b/tests/test_reset_connections.py
@@ -6,7 +6,6 @@
 import asyncio
 import select
 import socket
-import struct
 import unittest
 from collections import Counter
 from collections.abc import Callable
@@ -17,15 +16,14 @@
 from maplestile.net.http import HttpFront
 from maplestile.wire.http import Application, FrontLimits
 from tests.front_fixture import CALL_FRAME, FrontTestCase
-from tests.standins import PATIENCE_S, wait_until
+from tests.standins import PATIENCE_S, reset_on_close, wait_until
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a time of 0
 RESET_EVENTS = select.POLLERR | select.POLLHUP
 
 
 def reset(client: socket.socket, server_side: socket.socket) -> None:
     """Reset a connection, and return once the server's socket shows it; the event loop does not run."""
-    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    reset_on_close(client)
     client.close()
     poll = select.poll()
     poll.register(server_side.fileno(), RESET_EVENTS)
