A rollout or policy line to the agent whose command is no map gets an error

Cause: CommandServer passed the `command` of such a line on as it was. The controllers read fields of it, so a list, a number or a text raised AttributeError in the connection's task, and the client got no answer.

Change: it is answered with "'command' must be a map". A missing command counts as an empty one, as before.

Test: control_command_whose_content_is_no_map_is_answered_with_an_error failed before the change (no answer). test_recorded_control, _fronts and _command_line: 38 passed, 180 subtests.

--- a/maplestile/agent/command_server.py
+++ b/maplestile/agent/command_server.py
@@ -202,10 +202,12 @@
     # The control plane.
 
     async def _rollout(self, command: AgentCommand) -> CommandResult:
-        return await self._control_plane().execute_rollout_command(command.operation, command.content or {})
+        fields = _control_fields(command)
+        return await self._control_plane().execute_rollout_command(command.operation, fields)
 
     async def _policy(self, command: AgentCommand) -> CommandResult:
-        return await self._control_plane().execute_policy_command(command.operation, command.content or {})
+        fields = _control_fields(command)
+        return await self._control_plane().execute_policy_command(command.operation, fields)
 
     async def _serve_log(self, command: AgentCommand) -> VoterAnswer:
         return VoterAnswer(await self._control_plane().serve_log(command.content))
@@ -216,6 +218,15 @@
         return self.control
 
 
+def _control_fields(command: AgentCommand) -> dict[str, Any]:
+    """Return the fields of an operator's command to the control plane. Raises CommandError."""
+    if command.content is None:
+        return {}
+    if not isinstance(command.content, dict):
+        raise CommandError("'command' must be a map")
+    return command.content
+
+
 async def _for_each_instance(
     command: AgentCommand, call: Callable[[Instance], Awaitable[Answer]]
 ) -> dict[str, Answer]:
--- a/tests/test_command_server.py
+++ b/tests/test_command_server.py
@@ -5,11 +5,11 @@
 import socket
 import unittest
 from collections import Counter
-from typing import Any
+from typing import Any, cast
 
 from maplestile.agent.command_client import send_command
 from maplestile.agent.command_results import ProcessStatuses
-from maplestile.agent.command_server import AgentCommand, CommandServer
+from maplestile.agent.command_server import AgentCommand, CommandServer, ControlCommands
 from tests.standins import PATIENCE_S, reset_on_close, wait_until
 
 NESTED_TOO_DEEPLY = b"[" * 60_000 + b"\n"
@@ -71,3 +71,26 @@
         answer = await asyncio.to_thread(client.makefile().readline)
         self.assertIn("not understood", json.loads(answer)["error"])
         await self.assert_serves(0)
+
+    async def test_control_command_whose_content_is_no_map_is_answered_with_an_error(self) -> None:
+        """Guards against a line that ends its connection without an answer."""
+        self.command_server.enable_control(cast(ControlCommands, ReadingControl()))
+        for name in ("rollout", "policy"):
+            for content in (b"[1]", b"5", b'"x"', b"true"):
+                client = self.send(
+                    b'{"do": "%b", "what": "start", "command": %b}\n' % (name.encode(), content)
+                )
+                answer = await asyncio.to_thread(client.makefile().readline)
+                self.assertEqual(json.loads(answer)["error"], "'command' must be a map")
+        await self.assert_serves(0)
+
+
+class ReadingControl:
+    """A control plane that reads a field of each command, as the real one does."""
+
+    async def execute_rollout_command(self, _operation: str, command: dict[str, Any]) -> ProcessStatuses:
+        """Read the command."""
+        command.get("budget")
+        return ProcessStatuses({})
+
+    execute_policy_command = execute_rollout_command
