No name server is polled once one that had not answered is removed by a reload

Cause: Discovery keeps polling the server before a new one until the new one has answered. If a second reload removed the new one before that, its task was cancelled, and the task of the server before it was left without anybody to end it: it was polled for good, and its lists were applied.

Change: without a server both are cancelled.

Test: no_server_is_polled_once_one_that_had_not_answered_is_removed failed before the change (1 poller, not 0). test_discovery and test_endings_reload pass.

--- a/maplestile/router/discovery.py
+++ b/maplestile/router/discovery.py
@@ -24,11 +24,13 @@
         learn of no drains in the meantime.
         """
         previous = self._answering_task()
-        if self.task is not None and (self.task is not previous or server is None):
+        if self.task is not None and self.task is not previous:
             self.task.cancel()
         self.task = None
         self.driver = None
         if server is None:
+            if previous is not None:
+                previous.cancel()
             return
         components = self.components
         self.driver = DnsDiscovery(
