An error of a router whose detail is no text is shown as it came

Cause: RouterClient took `detail` of an error response as a text. Another router's number, null or list raised AttributeError in the agent's command or step.

Change: a detail that is no text, or a body nested too deeply, leaves the whole body as the text of the reply.

Test: error_without_a_text_detail_is_shown_as_it_came failed before the change for three of six bodies. test_router_client passes.

--- a/maplestile/agent/router_client.py
+++ b/maplestile/agent/router_client.py
@@ -81,8 +81,7 @@
             return OperatorReply(False, str(error))
         text = response.body
         if response.status >= HTTPStatus.BAD_REQUEST:
-            with contextlib.suppress(ValueError, KeyError, TypeError):
-                text = json.loads(text)["detail"]
+            text = _error_detail(text)
         return OperatorReply(response.status < HTTPStatus.MULTIPLE_CHOICES, text.strip(), response.status)
 
     async def is_ready(self) -> bool:
@@ -127,6 +126,15 @@
         return (await self.send_request("PUT", path.format(quote(runner, safe="")))).ok
 
 
+def _error_detail(body: str) -> str:
+    """Return the detail of an error response, or the whole body if there is none that is a text."""
+    with contextlib.suppress(ValueError, KeyError, TypeError, RecursionError):
+        detail = json.loads(body)["detail"]
+        if isinstance(detail, str):
+            return detail
+    return body
+
+
 def _operator_address(settings: InstanceSettings) -> str:
     """Return the `host:port` of the operators' front, or "" if there is none. Raises OperatorError."""
     if settings.operator_address or settings.router_file is None:
