--- a/tests/standins/client.py
+++ b/tests/standins/client.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import os
+import select
 import socket
 from collections.abc import Iterator
 from typing import Any
@@ -106,6 +107,10 @@
         answer: dict[str, Any] = json.loads(self.file.read(size))
         return answer
 
+    def has_input(self) -> bool:
+        """Return whether a read would return at once: bytes have arrived, or the connection has ended."""
+        return bool(select.select([self.socket], [], [], 0)[0])
+
     def close(self) -> None:
         """Close the connection."""
         self.file.close()
--- a/tests/standins/program.py
+++ b/tests/standins/program.py
@@ -13,22 +13,28 @@
 from pathlib import Path
 from typing import Any
 
+from tests.shims.stepped_clock import SteppedClock
 from tests.standins.waiting import PATIENCE_S, eventually
 
+MODULE = "maplestile"
 ROOT = Path(__file__).parents[2]
 DESCRIPTOR_LIMIT = 256  # the hard limit on open descriptors once a test has lowered the soft limit
 
 
 class Program:
-    """A process of the real program; a thread collects the lines of its log."""
+    """A process of the real program; a thread collects the lines of its log.
 
-    def __init__(self, *arguments: str, **environment: str) -> None:
+    With a `clock`, the process runs under a wall clock that the test steps.
+    """
+
+    def __init__(self, *arguments: str, clock: SteppedClock | None = None, **environment: str) -> None:
         self.log: list[str] = []
         self.ports: dict[str, int] = {}
         self.file = Path(arguments[-1] if arguments else "")
         env = {**os.environ, **environment, "PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
+        command = [sys.executable, "-m", MODULE] if clock is None else clock.command(MODULE)
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "maplestile", *arguments],
+            [*command, *arguments],
             stderr=subprocess.PIPE,
             text=True,
             env=env,
--- a/tests/standins/router_config.py
+++ b/tests/standins/router_config.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+from tests.shims.stepped_clock import SteppedClock
 from tests.standins.name_server import NameServer
 from tests.standins.program import Program
 from tests.standins.worker import Worker
@@ -62,11 +63,17 @@
 
 
 def start_router(
-    workers: list[Worker], names: NameServer, folder: str = "", port: int = 0, **changes: Any
+    workers: list[Worker],
+    names: NameServer,
+    folder: str = "",
+    port: int = 0,
+    clock: SteppedClock | None = None,
+    **changes: Any,
 ) -> Program:
     """Start a router as the platform does.
 
     If `folder` is given, it is the router's temporary folder, and the router has an operators' front as well.
+    With a `clock`, it runs under a wall clock that the test steps.
     """
     targets = [target(f"s-{number}", worker.port) for number, worker in enumerate(workers)]
     endpoint_list = {"index": 1, "updates": [{"index": 1, "endpoints": {"all": True, "targets": targets}}]}
@@ -82,6 +89,6 @@
     file = Path(tempfile.mkdtemp()) / "config.json"
     file.write_text(json.dumps(config))
     environment = {"TMPDIR": folder, "NODE_OPERATOR": "127.0.0.1:0"} if folder else {}
-    program = Program(NODE_CONFIG=str(file), **environment)
+    program = Program(clock=clock, NODE_CONFIG=str(file), **environment)
     program.file = file
     return program
--- /dev/null
+++ b/tests/test_process_clock_steps.py
@@ -0,0 +1,71 @@
+"""Real routers whose machine's wall clock is stepped: spans of real time stay what they were."""
+
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from tests.router_fixture import RouterTestCase
+from tests.shims.stepped_clock import SteppedClock
+from tests.standins import Worker, call_lines, eventually, params
+
+WINDOW_S = 1.5  # deduplication window of the class with keys
+INSIDE_WINDOW_S = 0.1
+AFTER_WINDOW_S = WINDOW_S + 0.5
+LIMIT_MS = 10_000
+KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+HOUR_S = 3600.0
+# A router of these tests begins no attempt beside one in flight, and cancels none: a call that hangs has one
+# attempt until the connection of that attempt breaks.
+ONE_ATTEMPT_AT_A_TIME = params()["limits"] | {"mayDuplicate": False, "cancelling": False}
+
+
+def classes_with_window(window_s: float) -> list[dict[str, Any]]:
+    """Return the classes of the tests; workers of one cell drop repeats of a keyed call for `window_s`."""
+    window = {"keyScope": "cell", "windowUs": int(window_s * 1e6)}
+    return [grade | window for grade in params()["grades"]]
+
+
+class ClockStepTestCase(RouterTestCase):
+    """Starts a router under a clock that the test steps."""
+
+    def start_under_clock(self, *workers: Worker, **changes: Any) -> SteppedClock:
+        """Start a router with these workers, and return its wall clock."""
+        clock = SteppedClock(Path(tempfile.mkdtemp()) / "clock")
+        self.start(*workers, clock=clock, **changes)
+        return clock
+
+
+class KeyedRepeatTest(ClockStepTestCase):
+    """A keyed call whose attempt breaks is sent again only while its deduplication window is open."""
+
+    def calls_after_break(self, step_s: float, wait_s: float) -> int:
+        """Return how many workers get a call, the first of which breaks `wait_s` after it arrived.
+
+        The wall clock is stepped by `step_s` meanwhile.
+        """
+        workers = [Worker(), Worker()]
+        clock = self.start_under_clock(
+            *workers, grades=classes_with_window(WINDOW_S), limits=ONE_ATTEMPT_AT_A_TIME
+        )
+        self.client.call_until_sent(self.program, "deck-make", b"hang:", limit_ms=LIMIT_MS, unique=KEY)
+        first = eventually(lambda: [worker for worker in workers if worker.ran], "the first attempt")[0]
+        clock.step(step_s)
+        time.sleep(wait_s)
+        first.die()
+        eventually(lambda: self.client.has_input() or len(call_lines(*workers)) > 1, "an answer or a repeat")
+        return len(call_lines(*workers))
+
+    # Guards against a second run of a keyed call whose window has passed in real time (incident 322331).
+    def test_keyed_call_is_not_sent_again_after_its_window_if_the_clock_went_back(self) -> None:
+        self.assertEqual(self.calls_after_break(-2 * WINDOW_S, AFTER_WINDOW_S), 1)
+
+    # The same after a step that is longer than any deadline.
+    def test_keyed_call_is_not_sent_again_after_its_window_if_the_clock_went_back_an_hour(self) -> None:
+        self.assertEqual(self.calls_after_break(-HOUR_S, AFTER_WINDOW_S), 1)
+
+    def test_keyed_call_is_not_sent_again_after_its_window_without_a_step(self) -> None:
+        self.assertEqual(self.calls_after_break(0.0, AFTER_WINDOW_S), 1)
+
+    def test_keyed_call_is_sent_again_inside_its_window(self) -> None:
+        self.assertEqual(self.calls_after_break(0.0, INSIDE_WINDOW_S), 2)
