--- a/maplestile/requests/attempts.py
+++ b/maplestile/requests/attempts.py
@@ -1,15 +1,29 @@
 """Attempts in flight: sends them to workers as the dispatcher decides, and reports their results to it."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from maplestile.dispatch import api
 from maplestile.dispatch.api import NEVER_RAN, Result
 from maplestile.requests.decision_loop import DecisionLoop
 from maplestile.requests.policy_epochs import EpochCounts
-from maplestile.requests.records import AttemptId, InFlightAttempt, Pool
+from maplestile.requests.records import AttemptId, InFlightAttempt, PendingRequest, Pool
 from maplestile.requests.request_table import RequestTable
 from maplestile.requests.runtime import Runtime
-from maplestile.wire.messages import Outcome, Report, Verdict
+from maplestile.wire.messages import Outcome, Report, Request, Verdict
+
+HEDGE = "hedge"  # in place of a result: no attempt of the call had ended
+
+
+@dataclass(slots=True, frozen=True)
+class RepeatedAttempt:
+    """An attempt after the first of its call."""
+
+    request: Request
+    number: int  # from 1
+    worker: str
+    after: str  # result of the attempt that ended last, or `HEDGE`
+    since_first_us: int  # time since the first attempt was sent
 
 
 class AttemptTable:
@@ -33,6 +47,8 @@
         self.in_flight: dict[AttemptId, InFlightAttempt] = {}
         # Called with each attempt and the policy epoch that it was decided under; None for no callback.
         self.on_sent: Callable[[AttemptId, int], None] | None = None
+        # Called with each attempt after the first of its call.
+        self.on_repeated: Callable[[RepeatedAttempt], None] = _ignore_repeat
 
     def send(self, action: api.SendAttempt) -> None:
         """Send an attempt to a worker; it ends as TIMEOUT if it has no result in time."""
@@ -43,6 +59,7 @@
             return
         now = self._clock()
         attempt = (action.call, pending.attempts)
+        self._record_repeat(pending, action.worker, now)
         pending.attempts += 1
         remaining_us = pending.due_us - now
         wait_us = min(action.timeout_us or remaining_us, remaining_us)
@@ -100,6 +117,8 @@
         self._counters[f"attempts.{result.value}"] += 1
         call = attempt[0]
         pending = self._requests.open.get(call)
+        if pending is not None:
+            pending.last_result = result
         if pending is not None and result not in NEVER_RAN:
             pending.may_have_run = True
         if pending is not None and result is Result.OK:
@@ -111,6 +130,16 @@
             api.AttemptEnded(*attempt, flight.worker, result, elapsed_us, over, warmth, queued_ahead, report)
         )
 
+    def _record_repeat(self, pending: PendingRequest, worker: str, now_us: int) -> None:
+        """Count and report an attempt after the first of its call."""
+        if not pending.attempts:
+            pending.first_attempt_us = now_us
+            return
+        after = HEDGE if pending.last_result is None else pending.last_result.value
+        self._counters[f"attempts.repeated.{after}"] += 1
+        since_first_us = now_us - pending.first_attempt_us
+        self.on_repeated(RepeatedAttempt(pending.request, pending.attempts, worker, after, since_first_us))
+
     def _end_unwritten_soon(self, attempt: AttemptId) -> None:
         """End a dropped attempt at the next tick, unless the dispatcher cancels it before."""
 
@@ -127,3 +156,7 @@
         if attempt in self.in_flight:
             self._pool.cancel(attempt)
             self.end(attempt, result)
+
+
+def _ignore_repeat(_attempt: RepeatedAttempt) -> None:
+    """Ignore a repeated attempt."""
--- a/maplestile/requests/connection_closer.py
+++ b/maplestile/requests/connection_closer.py
@@ -40,6 +40,7 @@
         if connection.is_closed():
             return
         self._transition(connection, ConnectionState.CLOSED)
+        self._counters[f"runners.closed.{_close_reason(connection, result)}"] += 1
         self._table.remove(connection)
         unsent = _take_unsent(connection)
         if connection.socket is not None:
@@ -75,6 +76,11 @@
             self._counters["runners.idle_too_long"] += 1
 
 
+def _close_reason(connection: Connection, result: Result) -> str:
+    """Return the name of the counter for a close: what ended it, and whether attempts were open on it."""
+    return f"{result.value}.open" if connection.open else f"{result.value}.idle"
+
+
 def _take_unsent(connection: Connection) -> deque[Message]:
     """Remove and return the messages of a closing connection that were not written completely.
 
--- a/maplestile/requests/core.py
+++ b/maplestile/requests/core.py
@@ -240,6 +240,7 @@
         self.call_at(action.due_us, lambda: self.decisions.handle(api.TimerFired(token)))
 
     def _reject(self, action: api.RejectCall) -> None:
+        self.counters["requests.rejected"] += 1
         self.requests.reject(action.call, action.retry_after_us)
 
     def _fail(self, action: api.FailCall) -> None:
--- a/maplestile/requests/records.py
+++ b/maplestile/requests/records.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from typing import Protocol
 
+from maplestile.dispatch.api import Result
 from maplestile.requests.states import CallState
 from maplestile.wire.messages import Outcome, Request
 
@@ -80,6 +81,8 @@
     presence: Callable[[], Presence]
     state: CallState = CallState.PENDING
     attempts: int = 0  # made so far
+    first_attempt_us: int = 0  # when the first one was sent; 0 before that
+    last_result: Result | None = None  # how the attempt that ended last did; None if none has ended
     may_have_run: bool = False  # an attempt may have run
     epoch: int = 0  # of the policy that it was accepted under
 
--- a/maplestile/requests/request_intake.py
+++ b/maplestile/requests/request_intake.py
@@ -1,6 +1,7 @@
 """Intake of requests from the fronts: admission, cancellation by the client, and deadlines."""
 
 from collections.abc import Callable
+from enum import Enum
 
 from maplestile.dispatch import api
 from maplestile.requests.attempts import AttemptTable
@@ -14,6 +15,16 @@
 from maplestile.wire.messages import Outcome, Request
 
 
+class ShedReason(Enum):
+    """Why a new request is rejected before the dispatcher sees it."""
+
+    FULL = "full"  # too many open requests, or too many bytes of them
+    LAG = "lag"  # the event loop handles it too long after its arrival
+    POLICY = "policy"  # the policy in force is not known
+    CLOSED = "closed"  # the process stops, and its clients have had time to learn of it
+    EXIT = "exit"  # the process ends too soon to serve it
+
+
 class RequestIntake:
     """Accepts or rejects requests, and ensures that each is answered by its deadline."""
 
@@ -59,8 +70,9 @@
             due_us = self.exit_us
         self._requests.add(call, PendingRequest(request, due_us, answer, presence, epoch=self._epochs.epoch))
         too_late = exits_first and due_us - now < self.limits.handover.min_budget_us
-        if self._must_shed(now - received_us) or too_late:
-            self._shed(call, exits_first)
+        reason = ShedReason.EXIT if too_late else self._shed_reason(now - received_us)
+        if reason is not None:
+            self._shed(call, exits_first, reason)
             return call
         self._epochs.current["calls"] += 1
         self._timers.call_at(due_us, lambda: self._on_deadline(call))
@@ -98,8 +110,8 @@
         for call in list(self._requests.open):
             self._fail(call)
 
-    def _must_shed(self, lag_us: int) -> bool:
-        """Return whether a new request must be rejected, for overload, an unknown policy, or shutdown.
+    def _shed_reason(self, lag_us: int) -> ShedReason | None:
+        """Return the reason why a new request must be rejected, or None if it may be accepted.
 
         `lag_us` is the time from the arrival of the request to its handling.
         """
@@ -109,10 +121,17 @@
         # further behind until the open requests miss their deadlines.
         lags = lag_us > limits.max_lag_us
         policy_unknown = self.accepts_calls is not None and not self.accepts_calls()
-        return policy_unknown or full or lags or self.closed
-
-    def _shed(self, call: int, exits_first: bool) -> None:
+        if policy_unknown:
+            return ShedReason.POLICY
+        if full:
+            return ShedReason.FULL
+        if lags:
+            return ShedReason.LAG
+        return ShedReason.CLOSED if self.closed else None
+
+    def _shed(self, call: int, exits_first: bool, reason: ShedReason) -> None:
         self._counters["requests.shed"] += 1
+        self._counters[f"requests.shed.{reason.value}"] += 1
         # A process that exits is replaced by another one, which accepts the request at once.
         retry_after_us = 0 if exits_first or self.closed else self.limits.requests.max_retry_after_us
         self._requests.reject(call, retry_after_us)
--- a/maplestile/router/components.py
+++ b/maplestile/router/components.py
@@ -14,6 +14,7 @@
 from maplestile.net.receive_timestamps import TimestampingSelector
 from maplestile.net.runners import RunnerPool
 from maplestile.requests.core import Core
+from maplestile.router.attempt_log import log_repeated
 from maplestile.router.clock import clock
 from maplestile.router.config import Config
 
@@ -133,7 +134,7 @@
 
     def _build_core(self) -> Core:
         config = self.config
-        return Core(
+        core = Core(
             config.settings,
             self.limits,
             config.seed,
@@ -142,6 +143,8 @@
             self._schedule_tick,
             self.counters,
         )
+        core.attempts.on_repeated = log_repeated
+        return core
 
     def _apply_limits(self) -> None:
         """Pass this process's share of the configured limits to each component."""
--- a/maplestile/router/process.py
+++ b/maplestile/router/process.py
@@ -28,6 +28,7 @@
 from maplestile.router.readiness import Readiness
 from maplestile.router.reload import Reloader
 from maplestile.router.supervisor import TaskSupervisor
+from maplestile.router.wall_clock_monitor import WallClockMonitor
 
 if TYPE_CHECKING:  # imported at run time only if the configuration needs them, to save start time and memory
     from maplestile.router.policy_driver import PolicyDriver
@@ -53,6 +54,7 @@
         self.readiness = Readiness(self.components, self.discovery)
         self.reloader = Reloader(self.components, self.discovery, load_config)
         self.gc_scheduler = GcScheduler(self.components.counters)
+        self.wall_clock_monitor = WallClockMonitor(self.components.counters)
         self.handover: HandoverMonitor | None = None
         if policy is not None:
             attach_policy(self.components, policy)
@@ -77,6 +79,8 @@
         """Print all counters as one line of JSON on standard error."""
         components = self.components
         components.counters["loop.longest_us"] = int(components.selector.longest_busy_s * 1e6)
+        late_ratio = components.core.dispatcher.admission.late_ratio
+        components.counters["requests.late_permille"] = int(late_ratio * 1000)
         answers = Counter[str]()
         for (_, verdict), count in components.core.answers.items():
             answers[f"answers.{verdict.value}"] += count
@@ -139,6 +143,7 @@
 
     async def _sweep(self) -> None:
         while True:
+            self.wall_clock_monitor.check()
             await asyncio.sleep(SWEEP_S)
             self.components.runners.sweep()
             self.gc_scheduler.collect_if_due(time.monotonic())
--- a/maplestile/tools/explore/normal_form.py
+++ b/maplestile/tools/explore/normal_form.py
@@ -31,7 +31,7 @@
 # Fields that are represented elsewhere in the normal form, or that affect no decision.
 IGNORED_FIELDS: dict[type, frozenset[str]] = {
     RequestTable: frozenset(("_tick_us", "answers")),
-    AttemptTable: frozenset(("_counters",)),
+    AttemptTable: frozenset(("_counters", "on_repeated")),
     ControlRequests: frozenset(("_counters", "limits")),
     RequestIntake: frozenset(("_counters", "limits")),
     Context: frozenset(
@@ -43,6 +43,7 @@
     Worker: frozenset(("salt",)),
     Call: frozenset(("settings", "kind")),
     Pool: frozenset(("limits", "clock", "counters", "transition", "core", "environment", "calls_written")),
+    PendingRequest: frozenset(("first_attempt_us", "last_result")),
     Runner: frozenset(("connections",)),
     Message: frozenset(("line", "request")),
     # `NormalForm.connection` represents the socket, the queue and the partly written line.
--- a/tests/test_process_clock_steps.py
+++ b/tests/test_process_clock_steps.py
@@ -1,5 +1,6 @@
 """Real routers whose machine's wall clock is stepped: spans of real time stay what they were."""
 
+import json
 import tempfile
 import time
 from pathlib import Path
@@ -69,3 +70,25 @@
 
     def test_keyed_call_is_sent_again_inside_its_window(self) -> None:
         self.assertEqual(self.calls_after_break(0.0, INSIDE_WINDOW_S), 2)
+
+
+class ClockStepLogTest(ClockStepTestCase):
+    """Operators learn of steps of the clock, and of the repeats of keyed calls."""
+
+    def test_steps_are_counted_and_logged(self) -> None:
+        clock = self.start_under_clock(Worker())
+        eventually(lambda: self.program.counters().get("clock.steps", 0) == 0, "the counters")
+        for number, step_s in enumerate((-HOUR_S, 2.0), 1):
+            clock.step(step_s)
+            self.assertIn(f"{step_s:+.1f}", self.program.find(r"wall clock was stepped by ([-+]\d+\.\d)"))
+            self.assertEqual(self.program.counters()["clock.steps"], number)
+
+    def test_repeat_of_keyed_call_is_logged(self) -> None:
+        workers = [Worker(), Worker()]
+        self.start(*workers, limits=ONE_ATTEMPT_AT_A_TIME)
+        self.client.call_until_sent(self.program, "deck-make", b"hang:", limit_ms=LIMIT_MS, unique=KEY)
+        first = eventually(lambda: [worker for worker in workers if worker.ran], "the first attempt")[0]
+        first.die()
+        event = json.loads(self.program.find(r'^(\{.*"event": "keyed call repeated".*)'))
+        self.assertEqual((event["attempt"], event["after"]), (1, "reset"))
+        self.assertEqual(self.program.counters()["attempts.repeated.reset"], 1)
