--- a/maplestile/invoke/invocation_request.py
+++ b/maplestile/invoke/invocation_request.py
@@ -37,7 +37,7 @@
     budget_us: int  # time from receipt to the deadline
     deferred: bool  # the caller collects the answer later
     body: bytes
-    received_us: int  # Unix time
+    received_us: int  # on the core's clock
 
     @property
     def scope(self) -> KeyScope | None:
--- a/maplestile/invoke/store.py
+++ b/maplestile/invoke/store.py
@@ -14,7 +14,7 @@
 
 FIRST_ERROR_STATUS = 400  # HTTP statuses from here on are errors
 
-Timer = Callable[[int, Callable[[], object]], None]  # calls a function at a Unix time in microseconds
+Timer = Callable[[int, Callable[[], object]], None]  # calls a function at a time of the core's clock
 
 
 class KeyScope(NamedTuple):
@@ -32,7 +32,7 @@
     id: str
     scope: KeyScope | None  # None without an idempotency key
     fingerprint: bytes  # of the request: distinguishes a repeat from another call with the same key
-    deadline_us: int  # Unix time
+    deadline_us: int  # on the core's clock
     call: int = 0  # the core's number of the call; 0 before it was submitted
     answer: Response | None = None  # None while the call is pending
     delivered: bool = False  # the answer was sent to at least one caller
--- a/maplestile/net/client.py
+++ b/maplestile/net/client.py
@@ -25,7 +25,7 @@
 
 @dataclass(slots=True, eq=False)
 class Client:
-    """One client connection; times are Unix microseconds."""
+    """One client connection; times are microseconds of the core's clock."""
 
     reader: ClientReader
     writer: asyncio.StreamWriter
--- a/maplestile/net/client_reader.py
+++ b/maplestile/net/client_reader.py
@@ -10,12 +10,12 @@
 
     @property
     def earliest_event_us(self) -> int:
-        """The earliest Unix time in microseconds at which the bytes of the last select can have arrived."""
+        """The earliest time in microseconds at which the bytes of the last select can have arrived."""
         ...
 
     @property
     def last_idle_us(self) -> int:
-        """The Unix time in microseconds at which the event loop last waited with all input read."""
+        """The time in microseconds at which the event loop last waited with all input read."""
         ...
 
 
@@ -26,7 +26,7 @@
         super().__init__(max_read_bytes)
         self.max_read_bytes = max_read_bytes
         self.timestamps = timestamps
-        self.received_us = 0  # earliest Unix time at which the bytes of the last read can have arrived
+        self.received_us = 0  # earliest time at which the bytes of the last read can have arrived
         self.read_was_full = False  # the last read filled the buffer, so the socket may hold more input
         self.buffered_bytes = 0  # read from the socket, and not yet returned by `take`
         self.ended = False
--- a/maplestile/net/http_connection.py
+++ b/maplestile/net/http_connection.py
@@ -42,7 +42,7 @@
         self.name = name
         self.app = app
         self.counters = counters
-        # Returns the earliest Unix time in microseconds at which the input read now can have arrived.
+        # Returns the earliest time of the core's clock at which the input read now can have arrived.
         self.received_us = received_us
         self.is_draining = False  # the process is draining: each connection closes after its next response
         # Ordered sets, oldest first.
--- a/maplestile/net/receive_timestamps.py
+++ b/maplestile/net/receive_timestamps.py
@@ -12,7 +12,7 @@
 class TimestampingSelector(selectors.DefaultSelector):
     """A selector that records the earliest time at which the events of the last select can have happened.
 
-    Times are Unix microseconds from `clock`; durations are measured with the monotonic clock.
+    Times are microseconds from `clock`, which runs with the monotonic clock that measures durations here.
     """
 
     def __init__(self, clock: Callable[[], int]) -> None:
--- a/maplestile/requests/core.py
+++ b/maplestile/requests/core.py
@@ -2,7 +2,7 @@
 
 The core uses neither sockets nor wire formats. It reads the time from `clock`, sets its next wake-up through
 `alarm`, sends through a `Pool`, and gives each request exactly one final answer through the callable that was
-submitted with it. Times are Unix microseconds.
+submitted with it. Times are microseconds of `clock`, which must never be stepped.
 """
 
 import logging
@@ -122,7 +122,7 @@
 
     @property
     def exit_us(self) -> int:
-        """The Unix time in microseconds at which the process exits; 0 if it is not exiting."""
+        """The time in microseconds at which the process exits; 0 if it is not exiting."""
         return self.intake.exit_us
 
     @property
--- a/maplestile/requests/request_intake.py
+++ b/maplestile/requests/request_intake.py
@@ -49,7 +49,7 @@
         self.limits = limits
         # Returns whether new calls may be accepted now; None if the router does not follow a fleet policy.
         self.accepts_calls: Callable[[], bool] | None = None
-        self.exit_us = 0  # Unix time at which the process exits; 0 if it is not exiting
+        self.exit_us = 0  # when the process exits; 0 if it is not exiting
         self.closed = False  # if true, every new request is rejected
 
     def submit(
--- a/maplestile/requests/runtime.py
+++ b/maplestile/requests/runtime.py
@@ -9,7 +9,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Runtime:
-    """A clock that gives Unix microseconds, the timers that run by it, and the counters."""
+    """A clock that gives microseconds, the timers that run by it, and the counters."""
 
     clock: Callable[[], int]
     timers: TimerQueue
--- a/maplestile/router/components.py
+++ b/maplestile/router/components.py
@@ -70,7 +70,7 @@
         return self.handover is not None and self.handover.is_successor_ready
 
     def received_us(self) -> int:
-        """Return the earliest Unix time, in microseconds, at which input read now can have arrived.
+        """Return the earliest time, in microseconds, at which input read now can have arrived.
 
         Streams return bytes one loop iteration after the select that found them.
         """
@@ -155,7 +155,7 @@
             self.platform.limits = self.limits
 
     def _schedule_tick(self, due_us: int) -> None:
-        """Schedule the next tick of the core at a Unix time in microseconds, instead of the pending one."""
+        """Schedule the next tick of the core at a time in microseconds, instead of the pending one."""
         if self._tick_timer is not None:
             self._tick_timer.cancel()
         delay_s = max(0.0, (due_us - clock()) / 1e6)
--- a/maplestile/wire/http.py
+++ b/maplestile/wire/http.py
@@ -20,7 +20,7 @@
     path: str
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b""
-    received_us: int = 0  # Unix time at which its last bytes were received
+    received_us: int = 0  # when its last bytes were received
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_process_clock_steps.py
+++ b/tests/test_process_clock_steps.py
@@ -1,6 +1,7 @@
 """Real routers whose machine's wall clock is stepped: spans of real time stay what they were."""
 
 import json
+import signal
 import tempfile
 import time
 from pathlib import Path
@@ -8,7 +9,7 @@
 
 from tests.router_fixture import RouterTestCase
 from tests.shims.stepped_clock import SteppedClock
-from tests.standins import Worker, call_lines, eventually, params
+from tests.standins import PATIENCE_S, Worker, call_lines, eventually, params
 
 WINDOW_S = 1.5  # deduplication window of the class with keys
 INSIDE_WINDOW_S = 0.1
@@ -16,6 +17,8 @@
 LIMIT_MS = 10_000
 KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
 HOUR_S = 3600.0
+LATE_S = 0.5  # an answer that comes later than this after its deadline is lost
+KILL_AFTER_S = 3.7  # SIGKILL comes no sooner after SIGTERM
 # A router of these tests begins no attempt beside one in flight, and cancels none: a call that hangs has one
 # attempt until the connection of that attempt breaks.
 ONE_ATTEMPT_AT_A_TIME = params()["limits"] | {"mayDuplicate": False, "cancelling": False}
@@ -72,6 +75,76 @@
         self.assertEqual(self.calls_after_break(0.0, INSIDE_WINDOW_S), 2)
 
 
+class DeadlineUnderStepsTest(ClockStepTestCase):
+    """A call is answered by its deadline in real time, and not given up before."""
+
+    def seconds_to_answer(self, step_s: float, limit_ms: int) -> float:
+        """Return how long a call that no worker answers waits, if the clock is stepped meanwhile."""
+        worker = Worker()
+        clock = self.start_under_clock(worker)
+        self.client.call_until_served("review", b"first")
+        started_s = time.monotonic()
+        self.client.call("test-submit", b"hang:", limit_ms)
+        eventually(lambda: len(worker.ran) == 2, "the attempt")
+        clock.step(step_s)
+        self.assertIn("error", self.client.read() or {})
+        return time.monotonic() - started_s
+
+    # Guards against answers that never come after a step back.
+    def test_call_without_an_answer_fails_at_its_deadline_if_the_clock_went_back(self) -> None:
+        self.assertLess(self.seconds_to_answer(-HOUR_S, 1_000), 1.0 + LATE_S)
+
+    # Guards against calls that are given up at a step forward.
+    def test_call_without_an_answer_fails_at_its_deadline_if_the_clock_went_forward(self) -> None:
+        self.assertGreater(self.seconds_to_answer(HOUR_S, 2_000), 1.5)
+
+    def test_call_is_served_if_the_clock_went_forward_meanwhile(self) -> None:
+        worker = Worker()
+        clock = self.start_under_clock(worker)
+        self.client.call_until_served("review", b"first")
+        worker.pause()
+        self.client.call("test-submit", b"abc", LIMIT_MS)
+        eventually(lambda: self.program.counters().get("attempts.sent") == 2, "the attempt")
+        clock.step(HOUR_S)
+        time.sleep(0.2)
+        worker.resume()
+        self.assertIn("result", self.client.read() or {})
+
+
+class DrainUnderStepsTest(ClockStepTestCase):
+    """A router that was told to stop answers what it owes, and ends in time, whatever the clock does."""
+
+    def drain(self, step_s: float) -> tuple[bool, float]:
+        """Stop a router with a call open; return whether it was served, and the seconds until the end."""
+        worker = Worker()
+        clock = self.start_under_clock(worker)
+        self.client.call_until_served("review", b"first")
+        worker.pause()
+        self.client.call("test-submit", b"abc", LIMIT_MS)
+        eventually(lambda: self.program.counters().get("attempts.sent") == 2, "the attempt")
+        started_s = time.monotonic()
+        self.program.process.send_signal(signal.SIGTERM)
+        self.program.find("was asked to (stop)")
+        clock.step(step_s)
+        time.sleep(0.5)
+        worker.resume()
+        answer = self.client.read() or {}
+        self.client.close()
+        self.assertEqual(self.program.process.wait(PATIENCE_S), 0)
+        return "result" in answer, time.monotonic() - started_s
+
+    # Guards against a drain that gives up its calls at a step forward.
+    def test_open_call_is_served_if_the_clock_goes_forward_in_a_drain(self) -> None:
+        served, _ = self.drain(HOUR_S)
+        self.assertTrue(served)
+
+    # Guards against a drain that is still under way when SIGKILL comes.
+    def test_drain_ends_in_time_if_the_clock_goes_back(self) -> None:
+        served, seconds = self.drain(-HOUR_S)
+        self.assertTrue(served)
+        self.assertLess(seconds, KILL_AFTER_S)
+
+
 class ClockStepLogTest(ClockStepTestCase):
     """Operators learn of steps of the clock, and of the repeats of keyed calls."""
 
