The agent tells how long an instance is in its state by the monotonic clock

Operators saw: for_s of -3600 after a step back by an hour. Cause: changed_at_s was a wall-clock time.

--- a/maplestile/agent/supervised_process.py
+++ b/maplestile/agent/supervised_process.py
@@ -70,7 +70,7 @@
         self.is_adopted = False  # whether an earlier agent started the current process
         self.state = ProcessState.NEW
         self.starts = 0
-        self.changed_at_s = time.time()
+        self.changed_at_s = time.monotonic()
         self.last_exit = ""
         self.should_run = asyncio.Event()
         self.should_run.set()
@@ -130,7 +130,7 @@
     async def _set_state(self, state: ProcessState) -> None:
         async with self.state_changed:
             self.state = state
-            self.changed_at_s = time.time()
+            self.changed_at_s = time.monotonic()
             self.state_changed.notify_all()
 
     def send_signal(self, number: signal.Signals) -> bool:
@@ -186,7 +186,7 @@
             state=self.state,
             pid=self.process.pid if self.process else None,
             starts=self.starts,
-            for_s=round(time.time() - self.changed_at_s, 1),
+            for_s=round(time.monotonic() - self.changed_at_s, 1),
             last_exit=self.last_exit,
         )
 
