A worker's start time that the router's own lists contradict counts as now

Callers would see: a runner that falls in its slow start (rule failback) behind routers that started on a machine whose clock was ahead, or a runner that gets little for an hour behind routers whose clock was behind. Cause: boot_ms is another machine's wall-clock time, and was compared with this machine's. Change: a time later than now, or 7 s earlier than the last confirmed list without the entry, counts as now; a restart stays one.

--- a/maplestile/net/dns_discovery.py
+++ b/maplestile/net/dns_discovery.py
@@ -40,12 +40,14 @@
         on_change: Callable[[], None],
         on_no_descriptor: Callable[[], object] = lambda: None,
         previous_task: asyncio.Task[None] | None = None,
+        on_confirmed: Callable[[], object] = lambda: None,
     ) -> None:
         self.client = DnsClient(server, limits, counters, on_no_descriptor)
         self.endpoints = endpoints
         self.limits = limits
         self.counters = counters
         self.on_change = on_change  # called after each change of the endpoint list
+        self.on_confirmed = on_confirmed  # called after each reply that has the current list
         self.previous_task = previous_task
         self.has_answered = False  # the name server has sent a usable reply
         self.is_complete = True  # False if the list with the current serial has to be applied again
@@ -103,6 +105,7 @@
         self.serial_restart.reset()
         is_unchanged = reply.serial == self.endpoints.version
         if is_unchanged and self.is_complete:
+            self.on_confirmed()
             return
         if is_older:
             self.counters["names.serial_restarts"] += 1
@@ -114,6 +117,8 @@
         # The serial of the endpoint list may have changed while the hosts were queried.
         replaces = is_older or reply.serial == self.endpoints.version
         self._apply(reply, reply.serial, replaces)
+        if self.is_complete:
+            self.on_confirmed()
 
     async def _apply_drains(self, reply: dns.Reply) -> None:
         """Apply only the drains of a list with an older serial.
--- a/maplestile/requests/endpoint_list.py
+++ b/maplestile/requests/endpoint_list.py
@@ -7,6 +7,7 @@
 
 from maplestile.common.address import Address
 from maplestile.dispatch import api
+from maplestile.requests.start_times import StartTimes
 
 SERIAL_NUMBERS = 1 << 32  # count of distinct serial numbers
 US_PER_MS = 1000
@@ -34,6 +35,7 @@
     entries: dict[str, api.WorkerEntry] = field(default_factory=dict)
     addresses: dict[str, Address] = field(default_factory=dict)
     suspended: frozenset[str] = frozenset()
+    start_times: StartTimes = field(default_factory=StartTimes)
 
     def apply_updates(self, known: Mapping[str, Any]) -> None:
         """Apply the update events in the settings: a complete list first, then changes to it.
@@ -102,17 +104,23 @@
         return {"index": self.version, "updates": [update]}
 
     def visible_entries(self) -> tuple[api.WorkerEntry, ...]:
-        """Return the entries for dispatcher and pool; cordoned runners are draining, whatever is listed."""
-        draining = api.WorkerState.DRAINING
-        return tuple(
-            replace(entry, state=draining) if uid in self.suspended else entry
-            for uid, entry in self.entries.items()
-        )
+        """Return the entries for dispatcher and pool, with start times by the router's clock.
+
+        Cordoned runners are draining, whatever is listed.
+        """
+        return tuple(self._visible_entry(entry) for entry in self.entries.values())
 
     def event(self, kind: api.ListKind = api.ListKind.FULL) -> api.WorkerListReceived:
         """Return the event that passes the list to the dispatcher."""
         return api.WorkerListReceived(kind, self.version, self.visible_entries())
 
+    def _visible_entry(self, entry: api.WorkerEntry) -> api.WorkerEntry:
+        state = api.WorkerState.DRAINING if entry.worker in self.suspended else entry.state
+        started_us = self.start_times.estimate(entry)
+        if state is entry.state and started_us == entry.started_us:
+            return entry
+        return replace(entry, state=state, started_us=started_us)
+
     def _apply_update(self, update: Mapping[str, Any]) -> None:
         """Apply one update event.
 
--- a/maplestile/router/components.py
+++ b/maplestile/router/components.py
@@ -81,6 +81,7 @@
         if self.cordons is not None:
             self.cordons.remember_listed(self.endpoints.entries)
             self.endpoints.suspended = self.cordons.cordoned
+        self.endpoints.start_times.update(self.endpoints.entries, clock())
         # The pool comes first: decisions on the new list need its addresses and drains.
         self.runners.update(self.endpoints)
         if self.peers is not None:
@@ -88,6 +89,10 @@
         self.core.list_changed(self.endpoints.event(kind))
         self.save_endpoints()
 
+    def confirm_endpoints(self) -> None:
+        """Record that the name server has confirmed the current endpoint list."""
+        self.endpoints.start_times.mark_current(clock())
+
     def save_endpoints(self) -> None:
         """Leave the endpoint list to a successor, if this process serves alone."""
         if self.shared_endpoints is not None and self.handover is not None and self.handover.is_alone:
--- a/maplestile/router/discovery.py
+++ b/maplestile/router/discovery.py
@@ -41,6 +41,7 @@
             components.publish_endpoints,
             components.free_descriptor,
             previous,
+            components.confirm_endpoints,
         )
         self.task = self.supervisor.start(self.driver.run)
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -24,6 +24,7 @@
         counters=Counter[str](),
         publish_endpoints=lambda: None,
         free_descriptor=lambda: None,
+        confirm_endpoints=lambda: None,
     )
     supervisor = TaskSupervisor(components.counters)
     discovery = Discovery(cast(Components, components), supervisor)
