--- a/tests/standins/program.py
+++ b/tests/standins/program.py
@@ -40,7 +40,8 @@
             env=env,
             cwd=ROOT,
         )
-        threading.Thread(target=self._read, daemon=True).start()
+        self.reader = threading.Thread(target=self._read, daemon=True)
+        self.reader.start()
 
     def _read(self) -> None:
         assert self.process.stderr is not None
--- a/tests/standins/router_config.py
+++ b/tests/standins/router_config.py
@@ -3,13 +3,19 @@
 import json
 import os
 import tempfile
+from collections.abc import Sequence
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 from tests.shims.stepped_clock import SteppedClock
 from tests.standins.name_server import NameServer
 from tests.standins.program import Program
-from tests.standins.worker import Worker
+
+
+class Listening(Protocol):
+    """A worker of any kind that listens on a port."""
+
+    port: int
 
 
 def params(**changes: Any) -> dict[str, Any]:
@@ -63,7 +69,7 @@
 
 
 def start_router(
-    workers: list[Worker],
+    workers: Sequence[Listening],
     names: NameServer,
     folder: str = "",
     port: int = 0,
