--- a/maplestile/net/listen.py
+++ b/maplestile/net/listen.py
@@ -1,4 +1,8 @@
-"""Opens the listening sockets of the fronts, and closes them without losing queued connections."""
+"""Opens the listening sockets of the fronts, accepts connections, and closes without losing queued ones.
+
+asyncio's server waits a second after an accept without resources, and serves no connection meanwhile.
+Requests with a short deadline would be answered too late, so the listener accepts by itself.
+"""
 
 import asyncio
 import errno
@@ -28,13 +32,17 @@
         listener: socket.socket,
         serve: ConnectionHandler,
         new_reader: ReaderFactory,
+        accept_burst: int,
         counters: Counter[str],
     ) -> None:
         self.socket = listener
         self.serve = serve
         self.new_reader = new_reader
+        self.accept_burst = accept_burst
         self.counters = counters
-        self.server: asyncio.Server | None = None
+        self._loop = asyncio.get_running_loop()
+        self._retry: asyncio.TimerHandle | None = None  # of accepts that wait for resources
+        self._tasks: set[asyncio.Task[None]] = set()  # that set up accepted connections
 
     def new_protocol(self) -> asyncio.StreamReaderProtocol:
         """Return a new protocol for one connection."""
@@ -46,10 +54,16 @@
         host, port = self.socket.getsockname()[:2]
         return host, port
 
+    def start(self) -> None:
+        """Accept connections from now on."""
+        self._retry = None
+        self._loop.add_reader(self.socket, self._accept_burst)
+
     def close(self) -> None:
         """Stop accepting; the kernel resets connections that wait in the accept queue."""
-        if self.server is not None:
-            self.server.close()
+        if self.socket.fileno() >= 0:
+            self._stop()
+            self.socket.close()
 
     async def accept_queued_and_close(
         self, timeout_s: float, on_no_descriptor: Callable[[], object] = lambda: None
@@ -63,16 +77,15 @@
         """
         if self.socket.fileno() < 0:
             return
-        loop = asyncio.get_running_loop()
-        loop.remove_reader(self.socket)
-        until_s = loop.time() + timeout_s
+        self._stop()
+        until_s = self._loop.time() + timeout_s
         while True:
             try:
                 peer, _ = self.socket.accept()
             except BlockingIOError:
                 break  # the queue is empty; there is no await before the close
             except OSError as error:
-                if loop.time() >= until_s:
+                if self._loop.time() >= until_s:
                     break
                 if error.errno in OUT_OF_RESOURCES:
                     on_no_descriptor()
@@ -83,11 +96,41 @@
                 await self._serve_accepted(peer)
         self.close()
 
+    def _stop(self) -> None:
+        """Accept no further connections."""
+        self._loop.remove_reader(self.socket)
+        if self._retry is not None:
+            self._retry.cancel()
+
+    def _accept_burst(self) -> None:
+        """Accept the connections that wait, at most `accept_burst` of them."""
+        for _ in range(self.accept_burst):
+            try:
+                peer, _ = self.socket.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if error.errno in OUT_OF_RESOURCES:
+                    self._wait_for_resources(error)
+                    return
+                self._record_failed_connection(error)
+            else:
+                task = self._loop.create_task(self._serve_accepted(peer))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    def _wait_for_resources(self, error: OSError) -> None:
+        """Accept again in a moment; until then the event loop would report the socket in each iteration."""
+        self.counters["listeners.out_of_resources"] += 1
+        log.warning("listener: cannot accept a connection now: %s", error)
+        self._stop()
+        self._retry = self._loop.call_later(ACCEPT_RETRY_S, self.start)
+
     async def _serve_accepted(self, peer: socket.socket) -> None:
         """Serve a connection; if its socket fails, close it alone."""
         try:
             peer.setblocking(False)
-            await asyncio.get_running_loop().connect_accepted_socket(self.new_protocol, peer)
+            await self._loop.connect_accepted_socket(self.new_protocol, peer)
         except OSError as error:
             peer.close()
             self._record_failed_connection(error)
@@ -121,17 +164,12 @@
     listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     if reuse_port:
         listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-    listener = Listener(listening_socket, serve, new_reader, counters)
+    listener = Listener(listening_socket, serve, new_reader, accept_burst, counters)
     try:
         listening_socket.bind(bind_address)
-        loop = asyncio.get_running_loop()
-        listener.server = await loop.create_server(
-            listener.new_protocol, sock=listening_socket, backlog=accept_burst
-        )
+        listening_socket.listen(queue_size)
     except OSError:
         listening_socket.close()
         raise
-    # asyncio uses its backlog both as the queue size and as the number of accepts per loop iteration. Only
-    # the latter has to be small, so the queue is enlarged here.
-    listening_socket.listen(queue_size)
+    listener.start()
     return listener
--- a/tests/shims/stepped_clock.py
+++ b/tests/shims/stepped_clock.py
@@ -13,6 +13,8 @@
 import time
 from pathlib import Path
 
+from tests.shims import failing_calls
+
 OFFSET = struct.Struct("=q")  # nanoseconds
 NS_PER_S = 1_000_000_000
 
@@ -57,9 +59,10 @@
 
 
 def main() -> None:
-    """Install the shim, and run the module."""
+    """Install the shims, and run the module."""
     clock_file, module, *arguments = sys.argv[1:]
     install(Path(clock_file))
+    failing_calls.install_if_asked()
     sys.argv = [module, *arguments]
     runpy.run_module(module, run_name="__main__", alter_sys=True)
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -18,11 +18,12 @@
     parser = argparse.ArgumentParser(prog="python -m tests.soak")
     parser.add_argument("--seeds", default="1-3", metavar="FIRST-LAST")
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--calls-fail", action="store_true", help="system calls of the routers fail")
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
-        record = play(seed, arguments.seconds)
+        record = play(seed, arguments.seconds, arguments.calls_fail)
         broken = broken_rules(record)
         answers = Counter(kind.value for request in record.requests.values() for _, kind in request.answers)
         print(
--- a/tests/soak/trial.py
+++ b/tests/soak/trial.py
@@ -6,10 +6,11 @@
 import signal
 import tempfile
 import time
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Mapping
 from pathlib import Path
 from typing import Any
 
+from tests.shims import failing_calls
 from tests.shims.stepped_clock import SteppedClock
 from tests.soak import schedule, settings
 from tests.soak.clients import SoakConnection, come_in_a_crowd, send_all_the_time
@@ -26,8 +27,11 @@
 class RouterSlot:
     """The place of one router: its current process, which is replaced after SIGTERM, and its clock."""
 
-    def __init__(self, number: int, workers: list[SoakWorker], names: NameServer) -> None:
+    def __init__(
+        self, number: int, workers: list[SoakWorker], names: NameServer, shims: Mapping[str, str]
+    ) -> None:
         self.number = number
+        self.shims = shims
         self.workers = workers
         self.names = names
         self.clock = SteppedClock(Path(tempfile.mkdtemp()) / "clock")
@@ -43,7 +47,9 @@
 
     async def start(self) -> None:
         """Start a process, and wait until it listens."""
-        self.program = start_router(self.workers, self.names, clock=self.clock, **settings.router_settings())
+        self.program = start_router(
+            self.workers, self.names, clock=self.clock, shims=self.shims, **settings.router_settings()
+        )
         self.port = await asyncio.to_thread(self.program.port, "platform")
         self.starts += 1
         self.is_stopping = False
@@ -67,8 +73,9 @@
 class Trial:
     """One trial; the schedule and the stand-ins' random sources depend on the seed alone."""
 
-    def __init__(self, seed: int, seconds: float) -> None:
+    def __init__(self, seed: int, seconds: float, calls_fail: bool) -> None:
         self.seed = seed
+        shims = failing_calls.environment(seed) if calls_fail else {}
         self.seconds = seconds
         self.record = TrialRecord()
         self.names = NameServer()
@@ -76,7 +83,9 @@
             SoakWorker(f"s-{number}", seed * settings.WORKERS + number, self.record)
             for number in range(settings.WORKERS)
         ]
-        self.slots = [RouterSlot(number, self.workers, self.names) for number in range(settings.ROUTERS)]
+        self.slots = [
+            RouterSlot(number, self.workers, self.names, shims) for number in range(settings.ROUTERS)
+        ]
         self.tasks: set[asyncio.Task[None]] = set()
         self.connections: list[SoakConnection] = []
         self.clients_until_s = 0.0
@@ -207,13 +216,16 @@
                 slot.program.kill()
 
 
-def play(seed: int, seconds: float) -> TrialRecord:
-    """Play the trial of a seed, and return its record."""
+def play(seed: int, seconds: float, calls_fail: bool = False) -> TrialRecord:
+    """Play the trial of a seed, and return its record.
+
+    With `calls_fail`, system calls of the routers fail now and then.
+    """
     trial: Trial | None = None
 
     async def play_trial() -> TrialRecord:
         nonlocal trial
-        trial = Trial(seed, seconds)
+        trial = Trial(seed, seconds, calls_fail)
         return await trial.play()
 
     try:
--- a/tests/standins/router_config.py
+++ b/tests/standins/router_config.py
@@ -3,7 +3,7 @@
 import json
 import os
 import tempfile
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any, Protocol
 
@@ -74,12 +74,14 @@
     folder: str = "",
     port: int = 0,
     clock: SteppedClock | None = None,
+    shims: Mapping[str, str] | None = None,
     **changes: Any,
 ) -> Program:
     """Start a router as the platform does.
 
     If `folder` is given, it is the router's temporary folder, and the router has an operators' front as well.
-    With a `clock`, it runs under a wall clock that the test steps.
+    With a `clock`, it runs under a wall clock that the test steps, and with the shims that the environment
+    variables in `shims` turn on.
     """
     targets = [target(f"s-{number}", worker.port) for number, worker in enumerate(workers)]
     endpoint_list = {"index": 1, "updates": [{"index": 1, "endpoints": {"all": True, "targets": targets}}]}
@@ -95,6 +97,7 @@
     file = Path(tempfile.mkdtemp()) / "config.json"
     file.write_text(json.dumps(config))
     environment = {"TMPDIR": folder, "NODE_OPERATOR": "127.0.0.1:0"} if folder else {}
+    environment |= shims or {}
     program = Program(clock=clock, NODE_CONFIG=str(file), **environment)
     program.file = file
     return program
--- a/tests/test_listen.py
+++ b/tests/test_listen.py
@@ -4,6 +4,7 @@
 import errno
 import os
 import socket
+import time
 from collections import Counter
 from typing import Any, cast
 from unittest import mock
@@ -14,6 +15,7 @@
 from tests.standins import PATIENCE_S
 
 Address = tuple[str, int]
+MAX_ACCEPT_DELAY_S = 0.5  # an answer that comes later than this after its deadline is lost
 
 
 def send_request(address: Address) -> socket.socket:
@@ -90,6 +92,10 @@
         """Return the descriptor of the socket."""
         return self.wrapped.fileno()
 
+    def close(self) -> None:
+        """Close the socket."""
+        self.wrapped.close()
+
 
 def close_with_faults(accept_errors: list[int], handshake_errors: int) -> tuple[list[bytes], int, int]:
     """Close a listener with three queued connections while accepts, and the first handshakes, fail.
@@ -150,3 +156,27 @@
     """Guards against an error of one accepted socket ending the drain, and with it the process."""
     answers, freed, failed = close_with_faults([], 1)
     assert (sorted(answers), freed, failed) == ([b"", b"?", b"?"], 0, 1)
+
+
+# Guards against a router that accepts nothing for a second after a moment without resources.
+def test_accept_is_tried_again_at_once_while_serving() -> None:
+    numbers = [errno.ENFILE, errno.ENOBUFS, errno.ECONNABORTED, errno.EPROTO, errno.EINTR]
+    counters = Counter[str]()
+
+    async def scenario() -> float:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(await reader.read(1))
+            writer.close()
+
+        listener = await listen("127.0.0.1", 0, serve, asyncio.StreamReader, 16, 64, counters)
+        real = listener.socket
+        listener.socket = cast(socket.socket, FaultyListeningSocket(real, numbers))
+        started_s = time.monotonic()
+        answer = await asyncio.to_thread(lambda: read_answer(send_request(real.getsockname())))
+        listener.socket = real
+        listener.close()
+        assert answer == b"?"
+        return time.monotonic() - started_s
+
+    assert asyncio.run(scenario()) < MAX_ACCEPT_DELAY_S
+    assert counters["listeners.out_of_resources"] == 2
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,7 +13,17 @@
 
 @pytest.mark.parametrize("seed", [1, 2, 3, 4])
 def test_no_rule_is_broken(seed: int) -> None:
-    record = play(seed, SECONDS)
+    check(play(seed, SECONDS))
+
+
+# Guards against answers that come too late after accepts that failed for a moment.
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_rule_is_broken_while_system_calls_fail(seed: int) -> None:
+    check(play(seed, SECONDS, calls_fail=True))
+
+
+def check(record: TrialRecord) -> None:
+    """Check that a trial broke no rule, and that something happened in it."""
     assert broken_rules(record) == []
     assert len(record.requests) > MIN_REQUESTS
     assert len(record.ends) >= settings.ROUTERS
