A router starts although the system has no socket for it for a moment

Callers would see: a router that exits with code 1 at its start, on ENFILE or ENOBUFS for its listening socket. Cause: the socket was created once. It is tried again every 50 ms for 3 s now; other errors are raised at once as before. The tests of the new wait came with it.

--- a/maplestile/net/listen.py
+++ b/maplestile/net/listen.py
@@ -18,6 +18,8 @@
 # Serves one connection; the first argument is the reader that the `ReaderFactory` returned.
 ConnectionHandler = Callable[[Any, asyncio.StreamWriter], Awaitable[None]]
 ACCEPT_RETRY_S = 0.01  # after an accept that failed
+CREATE_RETRY_S = 0.05  # after a listening socket could not be created
+CREATE_PATIENCE_S = 3.0  # a router has to be ready within 6 s on short days
 # Errors of an accept that last until something is freed; all others concern one queued connection.
 OUT_OF_RESOURCES = (*bounded_reads.NO_DESCRIPTOR, errno.ENOBUFS, errno.ENOMEM)
 
@@ -159,7 +161,7 @@
     candidates = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE)
     family, kind, protocol, _, bind_address = candidates[0]
     # Without an explicit protocol, asyncio leaves Nagle's algorithm on, which delays answers by 40 ms.
-    listening_socket = socket.socket(family, kind, protocol)
+    listening_socket = await _create_socket(family, kind, protocol)
     listening_socket.setblocking(False)
     listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     if reuse_port:
@@ -173,3 +175,19 @@
         raise
     listener.start()
     return listener
+
+
+async def _create_socket(family: int, kind: int, protocol: int) -> socket.socket:
+    """Create a socket; while the system is out of resources, try again for `CREATE_PATIENCE_S`.
+
+    Raises OSError if that does not help.
+    """
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + CREATE_PATIENCE_S
+    while True:
+        try:
+            return socket.socket(family, kind, protocol)
+        except OSError as error:
+            if error.errno not in OUT_OF_RESOURCES or loop.time() >= until_s:
+                raise
+        await asyncio.sleep(CREATE_RETRY_S)
--- a/tests/test_listen.py
+++ b/tests/test_listen.py
@@ -180,3 +180,34 @@
 
     assert asyncio.run(scenario()) < MAX_ACCEPT_DELAY_S
     assert counters["listeners.out_of_resources"] == 2
+
+
+# Guards against a router that does not start because the system has no resources for a moment.
+def test_listening_socket_is_created_after_a_moment_without_resources() -> None:
+    numbers = [errno.ENOBUFS, errno.ENFILE]
+    create = socket.socket
+
+    def create_or_fail(*arguments: Any) -> socket.socket:
+        if numbers:
+            raise OSError(numbers[0], os.strerror(numbers.pop(0)))
+        return create(*arguments)
+
+    async def scenario() -> None:
+        async def serve(_reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.close()
+
+        with mock.patch("maplestile.net.listen.socket.socket", create_or_fail):
+            listener = await listen("127.0.0.1", 0, serve, asyncio.StreamReader, 16, 64, Counter[str]())
+        listener.close()
+
+    asyncio.run(scenario())
+    assert not numbers
+
+
+def test_error_that_lasts_is_raised() -> None:
+    async def scenario() -> None:
+        with mock.patch("maplestile.net.listen.socket.socket", side_effect=OSError(errno.EACCES, "denied")):
+            await listen("127.0.0.1", 0, mock.AsyncMock(), asyncio.StreamReader, 16, 64, Counter[str]())
+
+    with pytest.raises(OSError, match="denied"):
+        asyncio.run(scenario())
