A worker that one list left out keeps its start time when it is listed again

Callers would see: less served for the length of a slow start, since warm runners that a stale list left out for one poll counted as just started. Cause: StartTimes forgot removed workers, and the list without them contradicted their start. The last 1,024 removed workers are remembered now.

--- a/maplestile/net/listen.py
+++ b/maplestile/net/listen.py
@@ -19,7 +19,7 @@
 ConnectionHandler = Callable[[Any, asyncio.StreamWriter], Awaitable[None]]
 ACCEPT_RETRY_S = 0.01  # after an accept that failed
 CREATE_RETRY_S = 0.05  # after a listening socket could not be created
-CREATE_PATIENCE_S = 3.0  # a router has to be ready within 6 s on short days
+CREATE_PATIENCE_S = 3.0  # leaves the rest of a start the time in which a router has to be ready
 # Errors of an accept that last until something is freed; all others concern one queued connection.
 OUT_OF_RESOURCES = (*bounded_reads.NO_DESCRIPTOR, errno.ENOBUFS, errno.ENOMEM)
 
--- a/maplestile/requests/start_times.py
+++ b/maplestile/requests/start_times.py
@@ -11,6 +11,7 @@
 from maplestile.dispatch.api import WorkerEntry
 
 MAX_LIST_DELAY_US = 7_000_000  # the name server counts a change as told after this time at the latest
+MAX_REMOVED = 1024  # removed workers that are remembered, since a stale list may leave out some for a while
 
 
 @dataclass(slots=True, frozen=True)
@@ -25,16 +26,21 @@
 class StartTimes:
     """The estimated start times of the listed workers; 0 stands for a long time ago."""
 
-    _by_uid: dict[str, StartTime] = field(default_factory=dict)
+    _by_uid: dict[str, StartTime] = field(default_factory=dict)  # removed workers first, oldest first
     _current_us: int = 0  # when the list was last known to be current; 0 if never
 
+    def __len__(self) -> int:
+        return len(self._by_uid)
+
     def mark_current(self, now_us: int) -> None:
         """Record that the name server has given the whole list as it is now."""
         self._current_us = now_us
 
     def update(self, entries: Mapping[str, WorkerEntry], now_us: int) -> None:
-        """Estimate the start times of new entries, and forget those of removed ones."""
-        self._by_uid = {uid: self._start_time(entry, now_us) for uid, entry in entries.items()}
+        """Estimate the start times of new entries; of removed ones, remember the latest `MAX_REMOVED`."""
+        listed = {uid: self._start_time(entry, now_us) for uid, entry in entries.items()}
+        removed = [(uid, start) for uid, start in self._by_uid.items() if uid not in listed]
+        self._by_uid = dict(removed[-MAX_REMOVED:]) | listed
 
     def estimate(self, entry: WorkerEntry) -> int:
         """Return when the worker of an entry started; as listed if `update` has not seen the entry."""
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -1,7 +1,7 @@
 """Tests of the estimated start times of workers, which hold also where the router's wall clock is wrong."""
 
 from maplestile.requests.endpoint_list import EndpointList
-from maplestile.requests.start_times import MAX_LIST_DELAY_US, StartTimes
+from maplestile.requests.start_times import MAX_LIST_DELAY_US, MAX_REMOVED, StartTimes
 from tests.helpers import MS, entry
 
 HOUR_US = 3_600_000 * MS
@@ -66,6 +66,22 @@
     assert times.estimate(again) > START_US + POLL_US
 
 
+# Guards against a warm worker that counts as cold since one list, perhaps a stale one, left it out.
+def test_worker_that_one_list_left_out_keeps_its_start_time() -> None:
+    times, now_us = confirmed_times(), START_US + POLL_US
+    times.update({}, now_us)
+    times.mark_current(now_us)
+    times.update({"old": OLD}, now_us + POLL_US)
+    assert times.estimate(OLD) == OLD.started_us
+
+
+def test_start_times_of_removed_workers_are_bounded() -> None:
+    times = StartTimes()
+    for number in range(2 * MAX_REMOVED):
+        times.update({f"w{number}": entry(f"w{number}", started_us=START_US)}, START_US)
+    assert len(times) == MAX_REMOVED + 1
+
+
 def test_dispatcher_gets_the_estimate_and_a_successor_the_listed_time() -> None:
     endpoints = EndpointList()
     endpoints.apply_list(1, [])
