A cold runner of the first list counts as warm if the clock is ahead: a test, known to fail

Under the clock shim, an hour ahead at the start, a runner that has just started is 3,600 s old to the router; with the clock right or an hour behind it is new. Two tests of open calls share their start now; their checks are the same.

--- a/tests/test_process_clock_steps.py
+++ b/tests/test_process_clock_steps.py
@@ -1,15 +1,18 @@
 """Real routers whose machine's wall clock is stepped: spans of real time stay what they were."""
 
 import json
+import os
 import signal
+import subprocess
 import tempfile
 import time
+import unittest
 from pathlib import Path
 from typing import Any
 
 from tests.router_fixture import RouterTestCase
 from tests.shims.stepped_clock import SteppedClock
-from tests.standins import PATIENCE_S, Worker, call_lines, eventually, params
+from tests.standins import PATIENCE_S, ROOT, Worker, call_lines, eventually, params
 
 WINDOW_S = 1.5  # deduplication window of the class with keys
 INSIDE_WINDOW_S = 0.1
@@ -39,6 +42,15 @@
         self.start(*workers, clock=clock, **changes)
         return clock
 
+    def start_with_open_call(self, worker: Worker) -> SteppedClock:
+        """Start a router with a call that its worker has not read, and return the router's wall clock."""
+        clock = self.start_under_clock(worker)
+        self.client.call_until_served("review", b"first")
+        worker.pause()
+        self.client.call("test-submit", b"abc", LIMIT_MS)
+        eventually(lambda: self.program.counters().get("attempts.sent") == 2, "the attempt")
+        return clock
+
 
 class KeyedRepeatTest(ClockStepTestCase):
     """A keyed call whose attempt breaks is sent again only while its deduplication window is open."""
@@ -100,11 +112,7 @@
 
     def test_call_is_served_if_the_clock_went_forward_meanwhile(self) -> None:
         worker = Worker()
-        clock = self.start_under_clock(worker)
-        self.client.call_until_served("review", b"first")
-        worker.pause()
-        self.client.call("test-submit", b"abc", LIMIT_MS)
-        eventually(lambda: self.program.counters().get("attempts.sent") == 2, "the attempt")
+        clock = self.start_with_open_call(worker)
         clock.step(HOUR_S)
         time.sleep(0.2)
         worker.resume()
@@ -117,11 +125,7 @@
     def drain(self, step_s: float) -> tuple[bool, float]:
         """Stop a router with a call open; return whether it was served, and the seconds until the end."""
         worker = Worker()
-        clock = self.start_under_clock(worker)
-        self.client.call_until_served("review", b"first")
-        worker.pause()
-        self.client.call("test-submit", b"abc", LIMIT_MS)
-        eventually(lambda: self.program.counters().get("attempts.sent") == 2, "the attempt")
+        clock = self.start_with_open_call(worker)
         started_s = time.monotonic()
         self.program.process.send_signal(signal.SIGTERM)
         self.program.find("was asked to (stop)")
@@ -145,6 +149,26 @@
         self.assertLess(seconds, KILL_AFTER_S)
 
 
+class StartTimeTest(unittest.TestCase):
+    """A cold runner counts as cold, also where the wall clock is wrong when the router starts."""
+
+    def age_of_new_runner_s(self, step_s: float) -> float:
+        """Return how old a runner that has just started is to a router whose clock is off by `step_s`."""
+        clock = SteppedClock(Path(tempfile.mkdtemp()) / "clock")
+        clock.step(step_s)
+        command = [*clock.command("tests.shims.start_time_probe"), str(int(time.time() * 1000))]
+        env = {**os.environ, "PYTHONPATH": str(ROOT)}
+        return float(subprocess.run(command, capture_output=True, text=True, env=env, check=True).stdout)
+
+    def test_new_runner_of_the_first_list_is_cold_if_the_clock_is_right_or_behind(self) -> None:
+        for step_s in (0.0, -HOUR_S):
+            self.assertLess(self.age_of_new_runner_s(step_s), PATIENCE_S)
+
+    # Guards against a cold runner of the first list that counts as warm since the clock is ahead.
+    def test_new_runner_of_the_first_list_is_cold_if_the_clock_is_ahead(self) -> None:
+        self.assertLess(self.age_of_new_runner_s(HOUR_S), PATIENCE_S)
+
+
 class ClockStepLogTest(ClockStepTestCase):
     """Operators learn of steps of the clock, and of the repeats of keyed calls."""
 
