Review case 9: an agreed policy is forgotten by a planned restart of the agents

Adds: the case with its script: three agents with a vote, the load of a hundred further agents, one planned restart. The case of the draining runner is number 10 now.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,179 +1,201 @@
-"""A runner that an operator has taken out gets calls again after a release of all runners."""
+"""After discovery has moved, a process that takes over sends calls to a runner that drains."""
 
 import asyncio
-import json
-import re
+import os
+import random
+import signal
 import sys
 import time
 from pathlib import Path
 from typing import Any
 
-from review.common_2.scene import ROOT, Scene, free_port, play, until
-from review.common_2.web import Web, call
-
-AGENTS = 3  # with a router each, as in examples/control
-RUNNERS = {"w1": "a1", "w2": "a1", "w3": "a2", "w4": "a3"}  # which agent manages which
-BANNED = "w1"
-FUNCTIONS = 12
-RATE = 45.0  # calls a second, over all routers
+from review.common_2.clients import Asked, Connection, ask, until_ready
+from review.common_2.names import NameServer
+from review.common_2.runners import Runner
+from review.common_2.scene import Scene, free_port, play, until
+from review.common_2.settings import TENANTS, ZONES, settings
+from review.common_2.traffic import record_traffic
+from review.common_2.web import call
+
+SEED = 5303
+RUNNERS = 12
+FUNCTIONS = 24
+RATE = 60.0
+LIMIT_S = 5.0
+WORK_S = (0.05, 0.15)
 GRACE_S, SLACK_S = 2.0, 0.05
-BAN_AT_S, RELEASE_AT_S, END_AT_S = 4.0, 9.0, 45.0
+BINDS_AFTER_YES_S = 2.0
+OUTAGE_S = 8.0
+DRAIN_AT_S, MOVE_AT_S, UPGRADE_AT_S, END_AT_S = 3.0, 7.0, 12.0, 24.0
+CONNECTION_S = 1.0  # how long a client keeps a connection
+
+
+async def work(runner: Runner, message: dict[str, Any]) -> tuple[str, bytes]:
+    """Run one call."""
+    await asyncio.sleep(random.uniform(*WORK_S))
+    return "200", f"score of {message['call']} at {runner.uid}".encode()
 
 
-class Fleet:
-    """Three agents with a router each, and four runners that they manage."""
+class Play:
+    """The operators' and the clients' part of the case."""
 
     def __init__(self, scene: Scene) -> None:
         self.scene = scene
-        self.python = str(ROOT / ".venv" / "bin" / "python")
-        self.runner_ports = {name: free_port() for name in RUNNERS}
-        self.invoke_ports = [free_port() for _ in range(AGENTS)]
-        self.operator_ports = [free_port() for _ in range(AGENTS)]
-        self.agent_ports = [free_port() for _ in range(AGENTS)]
-        self.voter_ports = [free_port() for _ in range(AGENTS)]
-        self.answers: dict[str, int] = {}
-        self.banned_s = 0.0
-
-    def notes(self, runner: str) -> list[list[Any]]:
-        """Return what a runner has noted so far."""
-        path = self.scene.folder / f"{runner}.notes"
-        return [json.loads(line) for line in path.read_text().splitlines()] if path.exists() else []
-
-    def write_files(self) -> None:
-        """Write the files of agents and routers, by those under examples/control and deploy/fleet."""
-        for n in range(AGENTS):
-            (self.scene.folder / f"r{n + 1}.toml").write_text(self._router_file(n))
-            (self.scene.folder / f"a{n + 1}.toml").write_text(self._agent_file(n))
-
-    def _router_file(self, n: int) -> str:
-        text = (ROOT / "deploy" / "fleet" / "r1.toml").read_text()
-        text = re.sub(r"\[peers\].*?(?=\[\[class\]\])", "", text, flags=re.DOTALL)
-        text = text.replace('name = "r1"', f'name = "r{n + 1}"')
-        text = text.replace("127.0.0.1:8110", f"127.0.0.1:{self.invoke_ports[n]}")
-        text = text.replace("127.0.0.1:8112", f"127.0.0.1:{self.operator_ports[n]}")
-        text = text[: text.index("[[worker]]")]
-        text += f"[rules]\nrouters = {AGENTS}\n"
-        for number in range(FUNCTIONS):
-            text += f'[[function]]\nname = "f{number}"\nclass = "review"\nmemory_mb = 2400\nlanes = 4\n'
-        for name, port in self.runner_ports.items():
-            text += (
-                f'[[worker]]\nid = "{name}"\naddress = "127.0.0.1:{port}"\n'
-                'zone = "north-block"\ncell = 1\nweight = 4\n'
-            )
-        return text
-
-    def _agent_file(self, n: int) -> str:
-        folder, name = self.scene.folder, f"a{n + 1}"
-        text = f'[agent]\nlisten = "127.0.0.1:{self.agent_ports[n]}"\nfolder = "{folder / name}"\n'
-        text += f'[control]\nname = "{name}"\nlisten = "127.0.0.1:{self.voter_ports[n]}"\n'
-        text += f'folder = "{folder / name}-log"\nbudget = 1\n'
-        for m in range(AGENTS):
-            text += f'[[voter]]\nname = "a{m + 1}"\naddress = "127.0.0.1:{self.voter_ports[m]}"\n'
-        text += f'[[instance]]\nname = "r{n + 1}"\nfile = "r{n + 1}.toml"\n'
-        script = ROOT / "review" / "common_2" / "runner_process.py"
-        for runner, agent in RUNNERS.items():
-            if agent == name:
-                command = [self.python, str(script), "--port", str(self.runner_ports[runner])]
-                command += ["--notes", str(folder / f"{runner}.notes")]
-                text += f'[[instance]]\nname = "{runner}"\ncommand = {json.dumps(command)}\n'
-        return text
-
-    async def command(self, *arguments: str) -> str:
-        """Run a command of the program's command line, and return what it prints."""
-        process = await asyncio.create_subprocess_shell(
-            " ".join([self.scene.run_command, *arguments]),
-            cwd=ROOT,
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.STDOUT,
+        self.rng = random.Random(SEED)
+        self.runners = [Runner(f"s-{n:08x}", ZONES[n % 3], 1 + n % 3, work) for n in range(RUNNERS)]
+        self.drains = self.runners[0]
+        self.servers = [NameServer(), NameServer()]
+        self.port = free_port()
+        self.known: dict[str, Any] = {}
+        self.told_s = 0.0
+        self.yes_s = 0.0
+        self.outage_s = 0.0
+
+    def config(self, server: NameServer, operator: str) -> dict[str, Any]:
+        """Return the router's configuration: the events of the start, and a name server."""
+        return {
+            "name": "n1",
+            "listen": f"127.0.0.1:{self.port}",
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "dns": f"127.0.0.1:{server.port}",
+            "operator": operator,
+            "known": self.known,
+            "settings": settings(),
+        }
+
+    def start(self, name: str, server: NameServer, operator: int) -> Any:
+        """Start the router, or the process that takes over from it, in the folder that they share."""
+        address = f"127.0.0.1:{operator}"
+        file = self.scene.write_config(f"{name}.json", self.config(server, address))
+        return self.scene.start(
+            name,
+            tmpdir=self.scene.folder / "tmp",
+            NODE_NAME="n1",
+            NODE_LISTEN=f"127.0.0.1:{self.port}",
+            NODE_CONFIG=str(file),
+            NODE_OPERATOR=address,
         )
-        output, _ = await process.communicate()
-        self.scene.note(
-            f"maplestile {' '.join(arguments)}: {process.returncode}: {output.decode().strip()[:300]}"
-        )
-        return output.decode()
-
-    async def until_ready(self) -> None:
-        """Wait until all routers are ready."""
-        for port in self.operator_ports:
-            while not await self._is_ready(port):  # noqa: ASYNC110 - asked over a socket
-                await asyncio.sleep(0.1)
-
-    async def _is_ready(self, port: int) -> bool:
-        reply = await call(port, "GET", "/v1/readyz")
-        return reply is not None and reply.status == 200
-
-    async def client(self, router: int) -> None:
-        """Call one router at a steady rate, each call on a connection of its own."""
-        number, due_s = 0, time.monotonic()
-        tasks = set[asyncio.Task[None]]()
-        while True:
-            await asyncio.sleep(max(0.0, due_s - time.monotonic()))
-            due_s += AGENTS / RATE
-            number += 1
-            tasks.add(
-                task := asyncio.create_task(self._call(router, f"f{(7 * number + router) % FUNCTIONS}"))
-            )
-            task.add_done_callback(tasks.discard)
 
-    async def _call(self, router: int, function: str) -> None:
-        path, sent_s = f"/v1/functions/{function}/invocations", self.scene.now_s()
-        reply = await call(self.invoke_ports[router], "POST", path, {}, b"answer", 6.0)
-        end = "no answer" if reply is None else str(reply.status)
-        self.answers[end] = self.answers.get(end, 0) + 1
-        self.scene.note(f"r{router + 1}: POST {function}: {end}", sent_s)
+    async def prepare(self) -> None:
+        """Start runners and name servers."""
+        for runner in self.runners:
+            await runner.start()
+        for server in self.servers:
+            server.runners = self.runners
+            await server.start()
+        targets = [runner.target() for runner in self.runners]
+        self.known = {
+            "index": 1,
+            "updates": [{"index": 1, "endpoints": {"rev": 1, "all": True, "targets": targets}}],
+        }
 
     async def operate(self) -> None:
-        """Take a runner out, and release all runners meanwhile."""
-        scene, start_s = self.scene, time.monotonic()
-        await asyncio.sleep(BAN_AT_S)
-        for port in self.operator_ports:
-            reply = await Web(port).request("PUT", f"/v1/runners/{BANNED}/suspend")
-            scene.note(f"PUT /v1/runners/{BANNED}/suspend: {reply.status}")
-            self.banned_s = time.monotonic()
-        await asyncio.sleep(max(0.0, start_s + RELEASE_AT_S - time.monotonic()))
-        agent = f"--agent 127.0.0.1:{self.agent_ports[0]}"
+        """Drain a runner, move discovery, and replace the process."""
+        scene, (old, new) = self.scene, self.servers
+        operators = [free_port(), free_port()]
+        first = self.start("first", old, operators[0])
+        await until_ready(self.port)
+        scene.note("the router is ready")
+        start_s = time.monotonic()
+        await asyncio.sleep(DRAIN_AT_S)
+        self.drains = max(self.runners, key=lambda runner: len(runner.calls))  # one that is in use
+        self.drains.state = "Terminating"
+        old.serial = new.serial = 2
+        await until(lambda: old.told.get(2), "answer that tells the drain")
+        self.told_s = old.told[2]
+        scene.note(f"the name server has told that {self.drains.uid} drains", self.told_s - scene.started_s)
+        await asyncio.sleep(max(0.0, start_s + MOVE_AT_S - time.monotonic()))
+        scene.write_config("first.json", self.config(new, f"127.0.0.1:{operators[0]}"))
+        first.send_signal(signal.SIGHUP)
+        old.silent_until_s = float("inf")
+        scene.note("SIGHUP: another name server, with the same numbers; the one before answers no more")
+        await until(lambda: new.told.get(2), "answer of the new name server")
+        await asyncio.sleep(max(0.0, start_s + UPGRADE_AT_S - time.monotonic()))
         if scene.trouble:
-            await self.command("rollout", "start", "--runners", "--action", "restart", "--budget", "1", agent)
+            self.outage_s = time.monotonic()
+            new.silent_until_s = self.outage_s + OUTAGE_S
+            scene.note(f"the name server answers nothing for {OUTAGE_S:.0f} s")
+        self.start("second", new, operators[1])
+        await self._until_yes(operators[1])
+        self.yes_s = time.monotonic()
+        scene.note("the new process says yes; SIGTERM to the old one")
+        first.send_signal(signal.SIGTERM)
+        await until(lambda: first.poll() is not None, "end of the old process")
+        scene.note(f"the old process has ended with {first.returncode}")
         await asyncio.sleep(max(0.0, start_s + END_AT_S - time.monotonic()))
-        await self.command("rollout", "status", agent)
 
-    def judge(self) -> list[str]:
-        """Return the calls and orders to load that came to the runner in its ban."""
+    async def _until_yes(self, operator: int) -> None:
+        async with asyncio.timeout(15.0):
+            while True:
+                reply = await call(operator, "GET", "/v1/readyz", patience_s=1.0)
+                if reply is not None and reply.status < 300:
+                    return
+                await asyncio.sleep(0.05)
+
+    async def client(self, number: int, asked: list[Asked], clients: int) -> None:
+        """Call at a steady rate, on a new connection each second."""
+        functions = [f"{n:016x}" for n in range(0xA1, 0xA1 + FUNCTIONS)]
+        due_s = time.monotonic() + number / RATE
+        connection: Connection | None = None
+        opened_s, tasks = 0.0, set[asyncio.Task[None]]()
+        while True:
+            await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+            due_s += clients / RATE
+            if connection is None or connection.ended or time.monotonic() - opened_s > CONNECTION_S:
+                if connection is not None:
+                    connection.retire()
+                try:
+                    connection, opened_s = await Connection(self.port).open(), time.monotonic()
+                except OSError:
+                    continue
+            tasks.add(task := asyncio.create_task(self._ask(connection, self.rng.choice(functions), asked)))
+            task.add_done_callback(tasks.discard)
+
+    async def _ask(self, connection: Connection, function: str, asked: list[Asked]) -> None:
+        team = self.rng.choices([t[0] for t in TENANTS], [t[1] for t in TENANTS])[0]
+        params = {"team": team, "cpu": 100.0, "info": "memory_mb:2600;lanes:4"}
+        asked.append(await ask(connection, "review", function, LIMIT_S, os.urandom(24), **params))
+
+    def judge(self, asked: list[Asked]) -> list[str]:
+        """Return the calls and orders to load that came to the draining runner too late."""
         scene = self.scene
-        scene.note(f"answers to the clients: {self.answers}")
-        for runner in RUNNERS:
-            notes = self.notes(runner)
-            starts = [f"{at_s - scene.started_s:.2f}" for at_s, kind, _ in notes if kind == "START"]
-            calls = sum(kind == "CALL" for _, kind, _ in notes)
-            for at_s, kind, tag in notes:
-                scene.note(f"{runner} got {kind} {tag}", at_s - scene.started_s)
-            scene.note(f"{runner}: {calls} calls, started at {', '.join(starts)}")
-        bound_s = self.banned_s + GRACE_S + SLACK_S
-        late = [n for n in self.notes(BANNED) if n[1] in ("CALL", "LOAD") and n[0] > bound_s]
-        for at_s, kind, tag in late[:40]:
-            scene.note(f"{kind} {tag} came to {BANNED} in its ban", at_s - scene.started_s)
-        return [
-            f"{kind} {tag} came to {BANNED} {at_s - self.banned_s:.2f} s after it was taken out; "
-            "nobody had put it back"
-            for at_s, kind, tag in late
+        record_traffic(scene, self.runners, asked)
+        ends = sorted({a.end for a in asked})
+        counts = ", ".join(f"{end}: {sum(a.end == end for a in asked)}" for end in ends)
+        scene.note(f"asked {len(asked)}; {counts}")
+        sends = [(c.at_s, f"call {c.tag}") for c in self.drains.calls]
+        sends += [(at_s, f"order to load {function}") for at_s, function in self.drains.loads]
+        bound_s = self.told_s + GRACE_S + SLACK_S
+        binds_s = self.yes_s + BINDS_AFTER_YES_S + SLACK_S
+        late = sorted((at_s, what) for at_s, what in sends if at_s > bound_s)
+        for at_s, what in late:
+            after_s = at_s - self.told_s
+            text = f"{what} came to {self.drains.uid}, {after_s:.2f} s after its drain was told"
+            scene.note(text, at_s - scene.started_s)
+        breaks = [
+            f"{what} came to {self.drains.uid} {at_s - self.told_s:.2f} s after its drain was told, "
+            f"{at_s - self.yes_s:.2f} s after the yes"
+            for at_s, what in late
+            if at_s < self.yes_s - 5.0 or at_s > binds_s
         ]
+        scene.note(f"{len(late)} sends after the grace, {len(breaks)} of them where the rule binds")
+        return breaks
 
 
 async def main(scene: Scene) -> list[str]:
-    """Play the case, and return what came to the runner in its ban."""
-    fleet = Fleet(scene)
-    fleet.write_files()
-    for n in range(AGENTS):
-        scene.start(f"agent{n + 1}", "agent", str(scene.folder / f"a{n + 1}.toml"))
-    async with asyncio.timeout(30.0):
-        await fleet.until_ready()
-    scene.note("all routers are ready")
-    clients = [asyncio.create_task(fleet.client(router)) for router in range(AGENTS)]
-    await fleet.operate()
+    """Play the case, and return the sends to the draining runner where the rule binds."""
+    case = Play(scene)
+    await case.prepare()
+    asked = list[Asked]()
+    operating = asyncio.create_task(case.operate())
+    await until_ready(case.port)
+    clients = [asyncio.create_task(case.client(n, asked, 6)) for n in range(6)]
+    await operating
     for client in clients:
         client.cancel()
-    await until(lambda: fleet.notes(BANNED), "notes of the runner")
-    return fleet.judge()
+    await asyncio.sleep(0.5)
+    return case.judge(asked)
 
 
 if __name__ == "__main__":
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,201 +1,217 @@
-"""After discovery has moved, a process that takes over sends calls to a runner that drains."""
+"""A policy that the fleet has agreed on is forgotten when the agents are restarted as planned."""
 
 import asyncio
-import os
-import random
+import json
+import re
+import shutil
 import signal
 import sys
 import time
 from pathlib import Path
 from typing import Any
 
-from review.common_2.clients import Asked, Connection, ask, until_ready
-from review.common_2.names import NameServer
 from review.common_2.runners import Runner
-from review.common_2.scene import Scene, free_port, play, until
-from review.common_2.settings import TENANTS, ZONES, settings
-from review.common_2.traffic import record_traffic
+from review.common_2.scene import ROOT, CannotRunError, Scene, free_port, play, until
 from review.common_2.web import call
 
-SEED = 5303
-RUNNERS = 12
-FUNCTIONS = 24
-RATE = 60.0
-LIMIT_S = 5.0
-WORK_S = (0.05, 0.15)
-GRACE_S, SLACK_S = 2.0, 0.05
-BINDS_AFTER_YES_S = 2.0
-OUTAGE_S = 8.0
-DRAIN_AT_S, MOVE_AT_S, UPGRADE_AT_S, END_AT_S = 3.0, 7.0, 12.0, 24.0
-CONNECTION_S = 1.0  # how long a client keeps a connection
+AGENTS = 3  # with a vote and a router each, as in examples/policy
+FURTHER_AGENTS = 100  # without a vote: the rest of a fleet of 200 routers
+READ_EVERY_S, BEAT_EVERY_S = 1.0, 2.0  # what an agent without a vote submits, by docs/policy-change.md
+FUNCTION = "score-bangla"
+BODY_LIMIT = 1_000  # of the agreed policy; the routers' own files have 16,384
+LONG_BODY = b"x" * 4_000
+QUIET_S = 6.0
+GROWTH_S = 70.0  # in which the log has to grow; it takes about 33 s
 
 
-async def work(runner: Runner, message: dict[str, Any]) -> tuple[str, bytes]:
+async def work(_runner: Runner, message: dict[str, Any]) -> tuple[str, bytes]:
     """Run one call."""
-    await asyncio.sleep(random.uniform(*WORK_S))
-    return "200", f"score of {message['call']} at {runner.uid}".encode()
+    await asyncio.sleep(0.05)
+    return "200", f"answer to {message['call']}".encode()
 
 
-class Play:
-    """The operators' and the clients' part of the case."""
+class Fleet:
+    """Three agents that agree by the replicated log, and the load of the agents without a vote."""
 
-    def __init__(self, scene: Scene) -> None:
+    def __init__(self, scene: Scene, runner: Runner) -> None:
         self.scene = scene
-        self.rng = random.Random(SEED)
-        self.runners = [Runner(f"s-{n:08x}", ZONES[n % 3], 1 + n % 3, work) for n in range(RUNNERS)]
-        self.drains = self.runners[0]
-        self.servers = [NameServer(), NameServer()]
-        self.port = free_port()
-        self.known: dict[str, Any] = {}
-        self.told_s = 0.0
-        self.yes_s = 0.0
-        self.outage_s = 0.0
-
-    def config(self, server: NameServer, operator: str) -> dict[str, Any]:
-        """Return the router's configuration: the events of the start, and a name server."""
-        return {
-            "name": "n1",
-            "listen": f"127.0.0.1:{self.port}",
-            "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "dns": f"127.0.0.1:{server.port}",
-            "operator": operator,
-            "known": self.known,
-            "settings": settings(),
-        }
-
-    def start(self, name: str, server: NameServer, operator: int) -> Any:
-        """Start the router, or the process that takes over from it, in the folder that they share."""
-        address = f"127.0.0.1:{operator}"
-        file = self.scene.write_config(f"{name}.json", self.config(server, address))
-        return self.scene.start(
-            name,
-            tmpdir=self.scene.folder / "tmp",
-            NODE_NAME="n1",
-            NODE_LISTEN=f"127.0.0.1:{self.port}",
-            NODE_CONFIG=str(file),
-            NODE_OPERATOR=address,
+        self.runner = runner
+        self.invoke_ports = [free_port() for _ in range(AGENTS)]
+        self.operator_ports = [free_port() for _ in range(AGENTS)]
+        self.agent_ports = [free_port() for _ in range(AGENTS)]
+        self.voter_ports = [free_port() for _ in range(AGENTS)]
+        self.agents: list[Any] = []
+        self.commands = 0
+        self.unanswered = 0
+
+    def write_files(self) -> None:
+        """Write the files of agents and routers, by those under examples/policy and deploy/policy."""
+        folder = self.scene.folder
+        for n in range(AGENTS):
+            text = (ROOT / "deploy" / "policy" / "r1.toml").read_text()
+            text = re.sub(r"\[peers\].*?(?=\[\[class\]\])", "", text, flags=re.DOTALL)
+            text = text.replace('name = "r1"', f'name = "r{n + 1}"')
+            text = text.replace("127.0.0.1:8110", f"127.0.0.1:{self.invoke_ports[n]}")
+            text = text.replace("127.0.0.1:8112", f"127.0.0.1:{self.operator_ports[n]}")
+            text = text.replace("/tmp/maplestile-policy-r1", str(folder / f"r{n + 1}-policy"))
+            text = text[: text.index("[[worker]]")]
+            text += f'[[worker]]\nid = "w1"\naddress = "127.0.0.1:{self.runner.port}"\nzone = "a"\ncell = 1\n'
+            (folder / f"r{n + 1}.toml").write_text(text)
+            (folder / f"a{n + 1}.toml").write_text(self._agent_file(n))
+        policy = (ROOT / "examples" / "policy" / "policy.toml").read_text()
+        policy = policy.replace("[limits]\n", f"[limits]\nbody_bytes = {BODY_LIMIT}\n")
+        (folder / "policy.toml").write_text(policy)
+
+    def _agent_file(self, n: int) -> str:
+        folder, name = self.scene.folder, f"a{n + 1}"
+        text = f'[agent]\nlisten = "127.0.0.1:{self.agent_ports[n]}"\nfolder = "{folder / name}"\n'
+        text += f'[control]\nname = "{name}"\nlisten = "127.0.0.1:{self.voter_ports[n]}"\n'
+        text += f'folder = "{folder / name}-log"\nbudget = 1\n'
+        for m in range(AGENTS):
+            text += f'[[voter]]\nname = "a{m + 1}"\naddress = "127.0.0.1:{self.voter_ports[m]}"\n'
+        return text + f'[[instance]]\nname = "r{n + 1}"\nfile = "r{n + 1}.toml"\n'
+
+    def start(self, n: int) -> None:
+        """Start an agent on its folders."""
+        agent = self.scene.start(f"agent{n + 1}", "agent", str(self.scene.folder / f"a{n + 1}.toml"))
+        self.agents[n : n + 1] = [agent]
+
+    async def until_ready(self) -> None:
+        """Wait until all routers are ready."""
+        for port in self.operator_ports:
+            async with asyncio.timeout(40.0):
+                while not await self._is_ready(port):  # noqa: ASYNC110 - asked over a socket
+                    await asyncio.sleep(0.1)
+
+    async def _is_ready(self, port: int) -> bool:
+        reply = await call(port, "GET", "/v1/readyz")
+        return reply is not None and reply.status == 200
+
+    async def command(self, *arguments: str) -> tuple[int, str]:
+        """Run a command of the program's command line."""
+        process = await asyncio.create_subprocess_shell(
+            " ".join([self.scene.run_command, *arguments]),
+            cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
         )
-
-    async def prepare(self) -> None:
-        """Start runners and name servers."""
-        for runner in self.runners:
-            await runner.start()
-        for server in self.servers:
-            server.runners = self.runners
-            await server.start()
-        targets = [runner.target() for runner in self.runners]
-        self.known = {
-            "index": 1,
-            "updates": [{"index": 1, "endpoints": {"rev": 1, "all": True, "targets": targets}}],
-        }
-
-    async def operate(self) -> None:
-        """Drain a runner, move discovery, and replace the process."""
-        scene, (old, new) = self.scene, self.servers
-        operators = [free_port(), free_port()]
-        first = self.start("first", old, operators[0])
-        await until_ready(self.port)
-        scene.note("the router is ready")
-        start_s = time.monotonic()
-        await asyncio.sleep(DRAIN_AT_S)
-        self.drains = max(self.runners, key=lambda runner: len(runner.calls))  # one that is in use
-        self.drains.state = "Terminating"
-        old.serial = new.serial = 2
-        await until(lambda: old.told.get(2), "answer that tells the drain")
-        self.told_s = old.told[2]
-        scene.note(f"the name server has told that {self.drains.uid} drains", self.told_s - scene.started_s)
-        await asyncio.sleep(max(0.0, start_s + MOVE_AT_S - time.monotonic()))
-        scene.write_config("first.json", self.config(new, f"127.0.0.1:{operators[0]}"))
-        first.send_signal(signal.SIGHUP)
-        old.silent_until_s = float("inf")
-        scene.note("SIGHUP: another name server, with the same numbers; the one before answers no more")
-        await until(lambda: new.told.get(2), "answer of the new name server")
-        await asyncio.sleep(max(0.0, start_s + UPGRADE_AT_S - time.monotonic()))
-        if scene.trouble:
-            self.outage_s = time.monotonic()
-            new.silent_until_s = self.outage_s + OUTAGE_S
-            scene.note(f"the name server answers nothing for {OUTAGE_S:.0f} s")
-        self.start("second", new, operators[1])
-        await self._until_yes(operators[1])
-        self.yes_s = time.monotonic()
-        scene.note("the new process says yes; SIGTERM to the old one")
-        first.send_signal(signal.SIGTERM)
-        await until(lambda: first.poll() is not None, "end of the old process")
-        scene.note(f"the old process has ended with {first.returncode}")
-        await asyncio.sleep(max(0.0, start_s + END_AT_S - time.monotonic()))
-
-    async def _until_yes(self, operator: int) -> None:
-        async with asyncio.timeout(15.0):
-            while True:
-                reply = await call(operator, "GET", "/v1/readyz", patience_s=1.0)
-                if reply is not None and reply.status < 300:
-                    return
-                await asyncio.sleep(0.05)
-
-    async def client(self, number: int, asked: list[Asked], clients: int) -> None:
-        """Call at a steady rate, on a new connection each second."""
-        functions = [f"{n:016x}" for n in range(0xA1, 0xA1 + FUNCTIONS)]
-        due_s = time.monotonic() + number / RATE
-        connection: Connection | None = None
-        opened_s, tasks = 0.0, set[asyncio.Task[None]]()
+        output, _ = await process.communicate()
+        text = output.decode().strip()
+        self.scene.note(f"maplestile {' '.join(arguments)}: {process.returncode}: {text[:400]}")
+        return process.returncode or 0, text
+
+    async def status(self, n: int) -> str:
+        """Return what an agent says of the agreed policy."""
+        return (await self.command("policy", "status", f"--agent 127.0.0.1:{self.agent_ports[n]}"))[1]
+
+    async def further_agent(self, number: int) -> None:
+        """Submit what an agent without a vote submits: a read each second, a heartbeat every two."""
+        name, port = f"b{number}", self.agent_ports[number % AGENTS]
+        await asyncio.sleep(number / FURTHER_AGENTS)
+        reads, next_s = 0, time.monotonic()
         while True:
-            await asyncio.sleep(max(0.0, due_s - time.monotonic()))
-            due_s += clients / RATE
-            if connection is None or connection.ended or time.monotonic() - opened_s > CONNECTION_S:
-                if connection is not None:
-                    connection.retire()
-                try:
-                    connection, opened_s = await Connection(self.port).open(), time.monotonic()
-                except OSError:
-                    continue
-            tasks.add(task := asyncio.create_task(self._ask(connection, self.rng.choice(functions), asked)))
-            task.add_done_callback(tasks.discard)
-
-    async def _ask(self, connection: Connection, function: str, asked: list[Asked]) -> None:
-        team = self.rng.choices([t[0] for t in TENANTS], [t[1] for t in TENANTS])[0]
-        params = {"team": team, "cpu": 100.0, "info": "memory_mb:2600;lanes:4"}
-        asked.append(await ask(connection, "review", function, LIMIT_S, os.urandom(24), **params))
-
-    def judge(self, asked: list[Asked]) -> list[str]:
-        """Return the calls and orders to load that came to the draining runner too late."""
-        scene = self.scene
-        record_traffic(scene, self.runners, asked)
-        ends = sorted({a.end for a in asked})
-        counts = ", ".join(f"{end}: {sum(a.end == end for a in asked)}" for end in ends)
-        scene.note(f"asked {len(asked)}; {counts}")
-        sends = [(c.at_s, f"call {c.tag}") for c in self.drains.calls]
-        sends += [(at_s, f"order to load {function}") for at_s, function in self.drains.loads]
-        bound_s = self.told_s + GRACE_S + SLACK_S
-        binds_s = self.yes_s + BINDS_AFTER_YES_S + SLACK_S
-        late = sorted((at_s, what) for at_s, what in sends if at_s > bound_s)
-        for at_s, what in late:
-            after_s = at_s - self.told_s
-            text = f"{what} came to {self.drains.uid}, {after_s:.2f} s after its drain was told"
-            scene.note(text, at_s - scene.started_s)
-        breaks = [
-            f"{what} came to {self.drains.uid} {at_s - self.told_s:.2f} s after its drain was told, "
-            f"{at_s - self.yes_s:.2f} s after the yes"
-            for at_s, what in late
-            if at_s < self.yes_s - 5.0 or at_s > binds_s
-        ]
-        scene.note(f"{len(late)} sends after the grace, {len(breaks)} of them where the rule binds")
-        return breaks
+            await self._submit(port, {"do": "policy read", "agent": name, "instances": []})
+            reads += 1
+            if reads % int(BEAT_EVERY_S / READ_EVERY_S) == 0:
+                await self._submit(port, {"do": "word", "agent": name, "words": {}})
+            next_s += READ_EVERY_S
+            await asyncio.sleep(max(0.0, next_s - time.monotonic()))
+
+    async def _submit(self, port: int, command: dict[str, Any]) -> None:
+        line = json.dumps({"do": "control", "instances": [], "command": command}).encode() + b"\n"
+        try:
+            async with asyncio.timeout(6.0):
+                reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1 << 20)
+                writer.write(line)
+                answer = json.loads(await reader.readline() or b"{}")
+                writer.close()
+        except (OSError, TimeoutError, ValueError):
+            answer = {}
+        if answer.get("control", {}).get("reply", {}).get("ok"):
+            self.commands += 1
+        else:
+            self.unanswered += 1
+
+    async def post(self, n: int) -> int:
+        """Send a router a body that the agreed policy does not allow, and return the status of the answer."""
+        reply = await call(
+            self.invoke_ports[n], "POST", f"/v1/functions/{FUNCTION}/invocations", {}, LONG_BODY, 6.0
+        )
+        status = 0 if reply is None else reply.status
+        self.scene.note(f"r{n + 1}: POST of {len(LONG_BODY)} bytes: {status}")
+        return status
+
+    def has_compacted(self) -> bool:
+        """Return whether every voter has a snapshot."""
+        return all((self.scene.folder / f"a{n + 1}-log" / "snapshot").exists() for n in range(AGENTS))
 
 
 async def main(scene: Scene) -> list[str]:
-    """Play the case, and return the sends to the draining runner where the rule binds."""
-    case = Play(scene)
-    await case.prepare()
-    asked = list[Asked]()
-    operating = asyncio.create_task(case.operate())
-    await until_ready(case.port)
-    clients = [asyncio.create_task(case.client(n, asked, 6)) for n in range(6)]
-    await operating
-    for client in clients:
-        client.cancel()
-    await asyncio.sleep(0.5)
-    return case.judge(asked)
+    """Play the case, and return what has become of the agreed policy."""
+    runner = Runner("w1", "a", 1, work)
+    await runner.start()
+    fleet = Fleet(scene, runner)
+    fleet.write_files()
+    for n in range(AGENTS):
+        fleet.start(n)
+    await fleet.until_ready()
+    agent = f"--agent 127.0.0.1:{fleet.agent_ports[0]}"
+    code, _ = await fleet.command("policy", "propose", str(scene.folder / "policy.toml"), agent)
+    await asyncio.sleep(1.0)
+    before = [await fleet.post(n) for n in range(AGENTS)]
+    if code or set(before) != {413}:
+        raise CannotRunError(f"the policy was not agreed on, or is not in force: {before}")
+    await _grow_log(scene, fleet)
+    if scene.trouble:
+        await _restart(scene, fleet)
+    await asyncio.sleep(QUIET_S)
+    return await _judge(fleet)
+
+
+async def _grow_log(scene: Scene, fleet: Fleet) -> None:
+    """Have the fleet's other agents submit their commands until every voter has compacted its log."""
+    load = [asyncio.create_task(fleet.further_agent(number)) for number in range(FURTHER_AGENTS)]
+    end_s = time.monotonic() + GROWTH_S
+    while not fleet.has_compacted() and time.monotonic() < end_s:  # noqa: ASYNC110 - files
+        await asyncio.sleep(0.5)
+    for task in load:
+        task.cancel()
+    scene.note(
+        f"{fleet.commands} commands of further agents are in the log, {fleet.unanswered} got no answer"
+    )
+    if not fleet.has_compacted():
+        raise CannotRunError("the voters have not compacted their logs")
+    scene.note("every voter has compacted its log")
+    await asyncio.sleep(1.0)
+
+
+async def _restart(scene: Scene, fleet: Fleet) -> None:
+    """Restart the agents, with their routers, as planned; r3 comes back on a new machine."""
+    for agent in fleet.agents:
+        agent.send_signal(signal.SIGTERM)
+    scene.note("SIGTERM to the agents")
+    for agent in fleet.agents:
+        await until(lambda agent=agent: agent.poll() is not None, "end of the agents")
+    scene.note("the agents have ended; they are started again on their folders")
+    shutil.rmtree(scene.folder / "r3-policy", ignore_errors=True)
+    scene.note("r3 starts from nothing: its machine was replaced")
+    for n in range(AGENTS):
+        fleet.start(n)
+    await fleet.until_ready()
+
+
+async def _judge(fleet: Fleet) -> list[str]:
+    breaks = list[str]()
+    for n in range(AGENTS):
+        text = await fleet.status(n)
+        if not text.startswith("epoch 1"):
+            breaks.append(
+                f"agent a{n + 1} says of the policy that was agreed on as epoch 1: {text.splitlines()[0]}"
+            )
+    for n in range(AGENTS):
+        if (status := await fleet.post(n)) != 413:
+            breaks.append(f"r{n + 1} does not serve by the agreed policy: {status} to a body that it refuses")
+    return breaks
 
 
 if __name__ == "__main__":
