Review: each case names the record that it writes, and ends its processes on SIGTERM

Cause: the path of record.txt stood in the shared stand-ins alone, and a script that was ended from outside left its processes and no record.

Adds: the path in each case and its script; a handler of SIGTERM; the runner's calls in the record of case 9.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -17,6 +17,7 @@
 from review.common_2.traffic import record_traffic
 from review.common_2.web import call
 
+RECORD = Path(__file__).resolve().with_name("record.txt")  # what was sent, answered and run
 SEED = 5303
 RUNNERS = 12
 FUNCTIONS = 24
@@ -199,4 +200,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(play(Path(__file__).resolve().parent, main))
+    sys.exit(play(RECORD, main))
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,6 +15,7 @@
 from review.common_2.settings import TENANTS
 from review.common_2.traffic import record_traffic
 
+RECORD = Path(__file__).resolve().with_name("record.txt")  # what was sent, answered and run
 SEED = 5306
 RUNNERS = 4
 FUNCTIONS = ("score-bangla", "make-cards", "keep-result")
@@ -128,4 +129,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(play(Path(__file__).resolve().parent, main))
+    sys.exit(play(RECORD, main))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -15,6 +15,7 @@
 from review.common_2.settings import TENANTS, ZONES, settings
 from review.common_2.traffic import record_traffic
 
+RECORD = Path(__file__).resolve().with_name("record.txt")  # what was sent, answered and run
 SEED = 5301
 RUNNERS = 60  # the fleet of FLEET.md
 RACK = 5  # runners of one rack, which share what keys they have seen (the site file: 4 to 8)
@@ -170,4 +171,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(play(Path(__file__).resolve().parent, main))
+    sys.exit(play(RECORD, main))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,6 +13,7 @@
 from review.common_2.scene import ROOT, CannotRunError, Scene, free_port, play, until
 from review.common_2.web import Web, call
 
+RECORD = Path(__file__).resolve().with_name("record.txt")  # what was sent, answered and run
 SEED = 5302
 RUNNERS = 12
 FUNCTIONS = 75  # each is called once, as by a class that opens its chapters in the evening
@@ -162,4 +163,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(play(Path(__file__).resolve().parent, main))
+    sys.exit(play(RECORD, main))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -12,8 +12,10 @@
 
 from review.common_2.runners import Runner
 from review.common_2.scene import ROOT, CannotRunError, Scene, free_port, play, until
+from review.common_2.traffic import record_traffic
 from review.common_2.web import call
 
+RECORD = Path(__file__).resolve().with_name("record.txt")  # what was sent, answered and run
 AGENTS = 3  # with a vote and a router each, as in examples/policy
 FURTHER_AGENTS = 100  # without a vote: the rest of a fleet of 200 routers
 READ_EVERY_S, BEAT_EVERY_S = 1.0, 2.0  # what an agent without a vote submits, by docs/policy-change.md
@@ -95,7 +97,11 @@
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
         )
-        output, _ = await process.communicate()
+        try:
+            output, _ = await process.communicate()
+        finally:
+            if process.returncode is None:
+                process.kill()
         text = output.decode().strip()
         self.scene.note(f"maplestile {' '.join(arguments)}: {process.returncode}: {text[:400]}")
         return process.returncode or 0, text
@@ -165,7 +171,9 @@
     if scene.trouble:
         await _restart(scene, fleet)
     await asyncio.sleep(QUIET_S)
-    return await _judge(fleet)
+    breaks = await _judge(fleet)
+    record_traffic(scene, [runner], [])
+    return breaks
 
 
 async def _grow_log(scene: Scene, fleet: Fleet) -> None:
@@ -215,4 +223,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(play(Path(__file__).resolve().parent, main))
+    sys.exit(play(RECORD, main))
--- a/review/common_2/scene.py
+++ b/review/common_2/scene.py
@@ -36,8 +36,8 @@
 class Scene:
     """One run of a case: its temporary folder, its processes, and its record."""
 
-    def __init__(self, case: Path) -> None:
-        self.case = case
+    def __init__(self, record: Path) -> None:
+        self.record = record
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.started_s = time.monotonic()
@@ -108,15 +108,17 @@
         text = "".join(f"{at_s:9.3f}  {line}\n" for at_s, line in ordered) + f"{verdict}\n"
         for folder, name in ((self.folder, "FOLDER"), (ROOT, "ROOT")):
             text = text.replace(str(folder), name)
-        (self.case / "record.txt").write_text(text)
+        self.record.write_text(text)
 
 
-def play(case: Path, main: Callable[[Scene], Awaitable[list[str]]]) -> int:
-    """Play a case, write its record, and return its exit code.
+def play(record: Path, main: Callable[[Scene], Awaitable[list[str]]]) -> int:
+    """Play a case, write its record to a file, and return its exit code.
 
     `main` returns the breaks of the rule. Any error counts as a case that could not run.
     """
-    scene = Scene(case)
+    # So that a run that is ended from outside ends its processes and writes its record, too.
+    signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(CANNOT_RUN))
+    scene = Scene(record)
     code, verdict = CANNOT_RUN, "could not run"
     try:
         breaks = asyncio.run(_within_limit(scene, main))
