A host without its TXT records is not usable: its known entry stays, and it is asked for again

Cause: worker_entry took TXT records that had not arrived for cell 0, start 0 and no kind, so all hosts without them shared cell 0, and the list counted as complete. Change: `kind`, `cell` and `started` are needed like the address; a host without them keeps its known entry but for its drain, and the list is applied again under its serial. A drain in an older list whose host does not answer is obeyed. In tests/test_names.py the three new tests failed before.

--- a/maplestile/net/dns_client.py
+++ b/maplestile/net/dns_client.py
@@ -123,7 +123,7 @@
         received = found.hosts.get(name.lower(), dns.Host())
         host = reply.hosts.setdefault(name.lower(), dns.Host())
         host.address = host.address or received.address
-        host.texts = host.texts or received.texts
+        host.texts |= received.texts  # the list's reply may have had room for only some of them
 
     async def _query_with_retries(self, name: str, record_type: int) -> dns.Reply:
         for _ in range(MAX_HOST_QUERY_ATTEMPTS - 1):
--- a/maplestile/net/dns_discovery.py
+++ b/maplestile/net/dns_discovery.py
@@ -129,21 +129,24 @@
         serving = {uid for uid, entry in entries.items() if entry.state is WorkerState.RUNNING}
         draining = [target for target in reply.targets if target.priority and _worker_uid(target) in serving]
         await self.client.add_missing_hosts(reply, draining)
-        drained = [_worker_uid(target) for target in draining if self._is_known_process(reply, target)]
+        drained = [_worker_uid(target) for target in draining if not self._is_other_process(reply, target)]
         if drained:
             self.endpoints.drain(drained)
             self.is_complete = False  # apply the next list that is not older, even if its serial is the same
             self.counters["names.outdated_drains"] += len(drained)
             self.on_change()
 
-    def _is_known_process(self, reply: dns.Reply, target: dns.Target) -> bool:
-        """Return whether a target is the same process as its current entry, judged by the start time."""
+    def _is_other_process(self, reply: dns.Reply, target: dns.Target) -> bool:
+        """Return whether a target is not the process of its current entry, judged by the start time.
+
+        Without the records of its host it counts as the same, so that its drain is obeyed.
+        """
         try:
             listed, _ = dns.worker_entry(reply, target)
         except dns.DnsError:
             return False
         known = self.endpoints.entries.get(listed.worker)
-        return known is not None and known.started_us == listed.started_us
+        return known is None or known.started_us != listed.started_us
 
     def _apply(self, reply: dns.Reply, serial: int, replaces: bool) -> None:
         """Apply a complete list; with `replaces`, even if its serial is not newer."""
--- a/maplestile/wire/dns.py
+++ b/maplestile/wire/dns.py
@@ -31,6 +31,7 @@
 IPV4_BYTES = 4
 
 WEIGHT_UNIT = 10  # weight in an SRV record for a worker of weight 1
+REQUIRED_TEXTS = ("kind", "cell", "started")  # the names in the TXT records of each host
 US_PER_MS = 1000
 
 
@@ -49,6 +50,10 @@
     address: str = ""  # IPv4, from an A record; empty if there is none
     texts: dict[str, str] = field(default_factory=dict)  # from TXT records of the form `name=value`
 
+    def missing_texts(self) -> list[str]:
+        """Return the names that the TXT records received so far lack."""
+        return [name for name in REQUIRED_TEXTS if name not in self.texts]
+
 
 @dataclass(slots=True, frozen=True)
 class Target:
@@ -76,7 +81,7 @@
             host = self.hosts.get(target.name.lower(), Host())
             if not host.address:
                 yield target.name, A
-            if not host.texts:
+            if host.missing_texts():
                 yield target.name, TXT
 
 
@@ -107,22 +112,25 @@
 def worker_entry(reply: Reply, target: Target) -> tuple[WorkerEntry, tuple[str, int]]:
     """Return the entry of one worker of a list, and its address and port.
 
-    Raises `DnsError` if the reply lacks the address of the worker's host, or has a TXT record whose value
-    should be a number and is not.
+    Raises `DnsError` if the reply lacks a record of the worker's host, or has a TXT record whose value should
+    be a number and is not. A record that did not arrive tells nothing: a default in its place would, for
+    example, put workers of different cells into one.
     """
     host = reply.hosts.get(target.name.lower())
     labels = target.name.split(".")
     if host is None or not host.address or len(labels) < 2:
         raise DnsError(f"the reply has no address record for {target.name}")
+    if missing := host.missing_texts():
+        raise DnsError(f"the reply has no TXT record with {', '.join(missing)} for {target.name}")
     try:
-        cell = int(host.texts.get("cell", 0))
-        started_ms = int(host.texts.get("started", 0))
+        cell = int(host.texts["cell"])
+        started_ms = int(host.texts["started"])
     except ValueError:
         raise DnsError(f"a TXT record of {target.name} should hold a number and does not") from None
     worker = WorkerEntry(
         worker=labels[0],
         zone=labels[1],
-        kind=host.texts.get("kind", ""),
+        kind=host.texts["kind"],
         cell=cell,
         state=WorkerState.DRAINING if target.priority else WorkerState.RUNNING,
         weight=target.weight / WEIGHT_UNIT,
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -43,6 +43,8 @@
         self.draining = set[int]()  # numbers of the draining workers
         self.unanswered_hosts = set[bytes]()
         self.malformed_hosts = set[bytes]()  # hosts whose TXT records have an invalid number
+        self.unanswered_kinds = set[int]()  # record types of hosts that are not answered
+        self.texts = b"\x08kind=std\x06cell=2\x09started=0"
         self.repeats_question = True  # if false, its lists answer another question
         self.queries = Counter[bytes]()  # by name
         self.list_queries = 0
@@ -57,7 +59,7 @@
         if query_kind(data) == dns.SRV:
             self.list_queries += 1
             self._answer_list(data, addr)
-        elif name not in self.unanswered_hosts:
+        elif name not in self.unanswered_hosts and query_kind(data) not in self.unanswered_kinds:
             self._waiting.append((data, addr))
             if len(self._waiting) >= self.host_batch:
                 self._answer_waiting()
@@ -76,7 +78,7 @@
     def _answer_waiting(self) -> None:
         for query, peer in self._waiting:
             kind = query_kind(query)
-            texts = b"\x08kind=std\x06cell=2\x09started=0"
+            texts = self.texts
             if query[NAME_START:NAME_END] in self.malformed_hosts:
                 texts = texts.replace(b"cell=2", b"cell=x")
             data = bytes([10, 0, 0, 1]) if kind == dns.A else texts
@@ -190,6 +192,40 @@
         self.assertEqual(draining, {"s-12", "s-33"})
         self.assertEqual(self.endpoints.addresses["s-33"], ("10.0.0.1", 99))
 
+    async def test_unanswered_text_records_keep_what_is_known_and_are_asked_for_again(self) -> None:
+        """Guards against keyed calls sent to other racks: hosts without TXT records all shared cell 0."""
+        await self.start()
+        await self.wait_until_complete()
+        self.server.unanswered_kinds = {dns.TXT}
+        self.publish(FIRST_SERIAL + 1, draining={12}, worker_count=WORKERS + 1)
+        await self.wait_until_version(FIRST_SERIAL + 1)
+        entries = self.endpoints.entries
+        self.assertEqual({(entry.cell, entry.kind) for entry in entries.values()}, {(2, "std")})
+        self.assertEqual((len(entries), entries["s-12"].state), (WORKERS, WorkerState.DRAINING))
+        self.server.unanswered_kinds = set()
+        await self.wait_for(lambda: len(self.endpoints.entries) == WORKERS + 1)  # under the same serial
+
+    async def test_host_with_some_of_its_texts_is_not_listed(self) -> None:
+        """Guards against a default in the place of each text that a TXT record lacks."""
+        complete = (b"\x08kind=std", b"\x06cell=2", b"\x09started=0")
+        for missing in complete:
+            with self.subTest(missing=missing):
+                await self.start()
+                self.server.texts = b"".join(text for text in complete if text != missing)
+                await self.wait_until_version(FIRST_SERIAL)
+                await self.wait_until_polled(2)
+                self.assertFalse(self.endpoints.entries)
+                self.server.texts = b"".join(complete)
+                await self.wait_until_complete()
+
+    async def test_drain_of_an_older_list_is_obeyed_although_its_host_does_not_answer(self) -> None:
+        """Guards against a drain that is missed because the records that identify the process are missing."""
+        await self.start(serial=70)
+        await self.wait_until_complete()
+        self.server.unanswered_kinds = {dns.TXT, dns.A}
+        self.publish(60, draining={3})
+        await self.wait_until_state("s-3", WorkerState.DRAINING)
+
     async def test_drain_is_applied_in_time_although_many_hosts_do_not_resolve(self) -> None:
         """The list shows the drain at once; waiting for missing hosts must not delay it for too long."""
         await self.start(timeout_us=150_000)
