--- a/maplestile/dispatch/api.py
+++ b/maplestile/dispatch/api.py
@@ -31,9 +31,16 @@
 )
 from maplestile.dispatch.results import ANSWERS, NEVER_RAN, Result, Warmth
 from maplestile.dispatch.settings import CallClass, DeduplicationScope, Idempotency, Settings
-from maplestile.dispatch.workers import ListKind, WorkerEntry, WorkerListReceived, WorkerState
+from maplestile.dispatch.workers import (
+    UNKNOWN_CELL,
+    ListKind,
+    WorkerEntry,
+    WorkerListReceived,
+    WorkerState,
+)
 
 __all__ = [
+    "UNKNOWN_CELL",
     "ANSWERS",
     "NEVER_RAN",
     "Action",
--- a/maplestile/dispatch/retry.py
+++ b/maplestile/dispatch/retry.py
@@ -1,6 +1,6 @@
 """Decides whether a call may be sent again: idempotency, deduplication, attempt limit and retry budget."""
 
-from maplestile.dispatch.api import DeduplicationScope, Idempotency, Result, WorkerEntry
+from maplestile.dispatch.api import UNKNOWN_CELL, DeduplicationScope, Idempotency, Result, WorkerEntry
 from maplestile.dispatch.context import Context
 from maplestile.dispatch.fleet import Fleet
 from maplestile.dispatch.state import Attempt, Call, Worker
@@ -70,5 +70,5 @@
         if scope is DeduplicationScope.ZONE:
             in_scope = first.zone == target.zone
         else:
-            in_scope = scope is DeduplicationScope.ALL or first.cell == target.cell
+            in_scope = scope is DeduplicationScope.ALL or first.cell == target.cell != UNKNOWN_CELL
         return in_scope and self.context.now_us + call.settings.tick_us < call.dedup_until_us()
--- a/maplestile/dispatch/workers.py
+++ b/maplestile/dispatch/workers.py
@@ -21,6 +21,9 @@
     FAILED = "failed"  # no entries: the list could not be fetched, and the previous one stays valid
 
 
+UNKNOWN_CELL = -1  # the cell of a worker whose entry does not give one
+
+
 @dataclass(slots=True, frozen=True)
 class WorkerEntry:
     """One entry of the worker list."""
@@ -28,7 +31,7 @@
     worker: str  # identity of the worker, unique in the list
     zone: str
     kind: str  # kind of machine, which determines the worker's memory by the settings
-    cell: int  # deduplication cell of the worker
+    cell: int  # deduplication cell of the worker; no worker shares `UNKNOWN_CELL` with another one
     state: WorkerState
     weight: float  # capacity relative to the other workers
     started_us: int  # when the worker's process started: a later time than before means a restart
--- a/maplestile/requests/endpoint_list.py
+++ b/maplestile/requests/endpoint_list.py
@@ -177,7 +177,7 @@
         worker=target["uid"],
         zone=target.get("az", ""),
         kind=target.get("model", ""),
-        cell=int(target.get("pod_group", 0)),
+        cell=int(target.get("pod_group", api.UNKNOWN_CELL)),
         state=STATES[target.get("state", "Ready")],
         weight=float(target.get("capacity_hint", 1.0)),
         started_us=int(target.get("boot_ms", 0)) * US_PER_MS,
--- a/tests/test_decide_repeats.py
+++ b/tests/test_decide_repeats.py
@@ -1,7 +1,11 @@
 """Tests of retries: idempotency, deduplication, streams, and disconnected clients."""
 
+from dataclasses import replace
+
 from maplestile.dispatch import api
+from maplestile.requests.endpoint_list import EndpointList
 from tests.helpers import (
+    CLASSES,
     MS,
     WORKERS,
     Driver,
@@ -45,6 +49,20 @@
         assert workers == set() if is_late else workers and workers <= {"a0", "a1"}
 
 
+def test_workers_of_unknown_cells_share_none() -> None:
+    """Guards against keyed calls that are repeated between workers whose entries give no cell."""
+    targets = [{"uid": uid, "endpoint": f"127.0.0.1:{port}"} for uid, port in (("a0", 1), ("a1", 2))]
+    endpoints = EndpointList()
+    endpoints.apply_updates({"updates": [{"index": 1, "endpoints": {"all": True, "targets": targets}}]})
+    by_cell = replace(CLASSES[1], deduplication_scope=api.DeduplicationScope.CELL)
+    unknown = [replace(worker, kind="k") for worker in endpoints.visible_entries()]
+    for workers, repeats in ((unknown, 0), ([entry("a0"), entry("a1")], 1)):
+        driver = Driver(settings(classes=(by_cell,)), workers)
+        worker = sends(driver.give(arrival(1, "f", by_cell.name)))[0].worker
+        actions = driver.give(ended(1, 0, worker, api.Result.ERROR)) + driver.run(200 * MS)
+        assert len(sends(actions)) == repeats
+
+
 def test_late_and_unknown_outcomes_are_ignored() -> None:
     driver = Driver(settings(), WORKERS)
     worker = serve_call(driver, 1, "f")
