--- a/maplestile/agent/instance.py
+++ b/maplestile/agent/instance.py
@@ -70,10 +70,10 @@
         """Return the router's readiness, and its numbers of served and failed calls since its start."""
         ...
 
-    async def fetch_lost_members(self) -> set[str]:
+    async def fetch_lost_members(self) -> set[str] | None:
         """Return the members that the router sees as dead or left, and the runners that do not respond.
 
-        The set is empty if the router does not answer or has no view of the members.
+        The set is empty if the router has no view of the members. None means that the router did not answer.
         """
         ...
 
--- a/maplestile/agent/router_client.py
+++ b/maplestile/agent/router_client.py
@@ -94,20 +94,22 @@
         text = metrics.text if metrics.ok else ""
         return HealthReport(ready, _count_calls(text, "success"), _count_calls(text, "failure"))
 
-    async def fetch_lost_members(self) -> set[str]:
+    async def fetch_lost_members(self) -> set[str] | None:
         """Return the members that the router sees as dead or left, and the runners that do not respond.
 
-        The set is empty if the router does not answer or has no view of the members.
+        The set is empty if the router has no view of the members. None means that the router did not answer.
         """
         reply = await self.send_request("GET", MEMBERS_PATH)
-        if not reply.ok:
+        if not reply.has_front or reply.status == HTTPStatus.NOT_FOUND:
             return set()
+        if not reply.ok:
+            return None
         try:
             view = json.loads(reply.text)
             lost = {member["name"] for member in view["members"] if member["status"] in ("dead", "left")}
             return lost | set((view.get("watch") or {}).get("silent", ()))
         except (ValueError, KeyError, TypeError):
-            return set()
+            return None
 
     async def fetch_runners(self) -> dict[str, ListedRunner] | None:
         """Return the runners that the router lists, by runner id, or None if the router does not answer."""
