An invalid file of the other process's endpoints is reported once, and ends nothing

A deeply nested file raised RecursionError, which in a drain would have ended the process; an invalid file was read, counted and logged at each look.

--- a/maplestile/operation/shared_endpoints.py
+++ b/maplestile/operation/shared_endpoints.py
@@ -45,15 +45,16 @@
             mtime_ns = self._file.stat().st_mtime_ns
             if mtime_ns == self._read_mtime_ns:
                 return None
-            content: dict[str, Any] = json.loads(self._file.read_text())
-            self._read_mtime_ns = mtime_ns
+            text = self._file.read_text()
+            self._read_mtime_ns = mtime_ns  # also of an invalid file, which is reported once
+            content: dict[str, Any] = json.loads(text)
             if content["name_server"] != _encode(name_server):
                 return None
             endpoints = EndpointList()
             endpoints.apply_updates(content["known"])
         except FileNotFoundError:
             return None
-        except (OSError, ValueError, KeyError, TypeError, EndpointListError) as error:
+        except (OSError, ValueError, KeyError, TypeError, RecursionError, EndpointListError) as error:
             self._report_error(error)
             return None
         return endpoints
--- a/tests/test_shared_endpoints.py
+++ b/tests/test_shared_endpoints.py
@@ -48,12 +48,16 @@
         "5",
         '{"name_server":"127.0.0.1:53"}',
         '{"name_server":"127.0.0.1:53","known":{"updates":[5]}}',
+        "[" * 100_000,
     ],
 )
-def test_invalid_file_is_counted_and_not_used(tmp_path: Path, content: str) -> None:
+def test_invalid_file_is_counted_once_and_not_used(tmp_path: Path, content: str) -> None:
+    """Guards against a drain that ends on the error of a file, and a file that is reported at each look."""
     counters = Counter[str]()
     (tmp_path / FILE_NAME).write_text(content)
-    assert SharedEndpoints(tmp_path, counters).load_if_changed(NAME_SERVER) is None
+    store = SharedEndpoints(tmp_path, counters)
+    for _ in range(2):
+        assert store.load_if_changed(NAME_SERVER) is None
     assert counters["operation.endpoint_file_faults"] == 1
 
 
