A background task that ends on an exception is reported when it ends

Tasks of the agent, and of connections in a router, now report it at once (`loop.errors`), and a control plane whose one controller fails ends whole. The agent's command lines may have 1 MB and its replies 64 MB: the registration of 3,200 runners and the state of a large fleet reached the limits (by reading; no fleet of that size was run).

--- a/maplestile/agent/command_client.py
+++ b/maplestile/agent/command_client.py
@@ -7,7 +7,7 @@
 from maplestile.common.address import Address
 
 COMMAND_TIMEOUT_S = 60.0  # a command may have to wait for processes to end
-MAX_REPLY_BYTES = 1 << 20  # enough for the metrics of many instances
+MAX_REPLY_BYTES = 64 << 20  # enough for the replicated state of 45,000 instances
 NO_REPLY = b'{"error":"the agent gave no answer"}'
 
 
--- a/maplestile/agent/command_server.py
+++ b/maplestile/agent/command_server.py
@@ -32,7 +32,7 @@
 from maplestile.operation.api import MEMBERS_PATH, METRICS_PATH, READY_PATH
 
 log = logging.getLogger("maplestile.agent")
-MAX_LINE_BYTES = 65_536
+MAX_LINE_BYTES = 1 << 20  # a fleet of 3,200 runners is registered in some 100 KB
 Answer = TypeVar("Answer")
 
 # By command: the HTTP method and path of the request to the operators' front of each chosen instance.
--- a/maplestile/agent/control_plane.py
+++ b/maplestile/agent/control_plane.py
@@ -12,6 +12,7 @@
 from maplestile.agent.replicated_log import ReplicatedLog
 from maplestile.agent.rollout_controller import RolloutController
 from maplestile.agent.supervised_process import SupervisedProcess
+from maplestile.common.tasks import start_task
 from maplestile.control.log_view import LogAnswer
 from maplestile.control.raft_log import RaftLog
 from maplestile.control.remote_log import RemoteLog
@@ -50,12 +51,19 @@
         return cls(rollouts, policies)
 
     async def run(self) -> None:
-        """Run both controllers until cancelled. Raises what the rollout controller or the log raises."""
-        policy_task = asyncio.get_running_loop().create_task(self.policies.run())
+        """Run both controllers until cancelled. Raises what a controller or the log raises.
+
+        Neither goes on without the other: an agent with half a control plane would look healthy.
+        """
+        controllers = {start_task(self.policies.run()), start_task(self.rollouts.run())}
         try:
-            await self.rollouts.run()
+            ended, _ = await asyncio.wait(controllers, return_when=asyncio.FIRST_COMPLETED)
+            for controller in ended:
+                controller.result()
         finally:
-            policy_task.cancel()
+            for controller in controllers:
+                controller.cancel()
+            await asyncio.gather(*controllers, return_exceptions=True)
 
     async def execute_rollout_command(self, operation: str, command: Any) -> CommandResult:
         """Execute an operator's command about rollouts, and return the result. Raises CommandError."""
--- a/maplestile/agent/leader.py
+++ b/maplestile/agent/leader.py
@@ -9,6 +9,7 @@
 
 from maplestile.agent.replicated_log import ReplicatedLog
 from maplestile.common import logs
+from maplestile.common.tasks import start_task
 from maplestile.control.commands import AbortPolicy, CommitPolicy, EncodedCommand, GrantLease, HaltRollout
 
 Planner = TypeVar("Planner")
@@ -42,7 +43,7 @@
         command = self._next_command(self.planner, now_us)
         if command is not None:
             submission = self._submit(replace(command, agent=self.agent))
-            self.submission = asyncio.get_running_loop().create_task(submission)
+            self.submission = start_task(submission)
 
     def cancel(self) -> None:
         """Cancel the submission in progress, if any."""
--- a/maplestile/agent/policy_controller.py
+++ b/maplestile/agent/policy_controller.py
@@ -27,6 +27,7 @@
 from maplestile.agent.replicated_log import ReplicatedLog, submit_for_operator
 from maplestile.agent.tasks import is_idle
 from maplestile.common import logs
+from maplestile.common.tasks import start_task
 from maplestile.control.commands import EncodedCommand, PolicyRead, ReadPolicy, SubmitVerdict, decode_reply
 from maplestile.control.errors import LogError
 from maplestile.control.log_view import RouterStatus
@@ -121,7 +122,7 @@
         interval_s = READ_INTERVAL_S if change is None else READ_INTERVAL_CHECKING_S
         if followers and time.monotonic() - self.last_read_s >= interval_s and is_idle(self.read_task):
             self.last_read_s = time.monotonic()
-            self.read_task = asyncio.get_running_loop().create_task(self.read(followers))
+            self.read_task = start_task(self.read(followers))
 
     async def read(self, policies: list[RouterPolicy]) -> None:
         """Submit a read to the log that names the answering routers, and set their fences by the reply."""
@@ -148,7 +149,7 @@
         announcement = policy.next_announcement(self.agreed.epoch.number, change)
         if announcement is not None:
             sending = self.announce(policy, announcement)
-            policy.announcement_task = asyncio.get_running_loop().create_task(sending)
+            policy.announcement_task = start_task(sending)
 
     async def announce(self, policy: RouterPolicy, announcement: Announcement) -> None:
         """Send an announcement to a router."""
@@ -161,7 +162,7 @@
     def _start_check(self, policy: RouterPolicy, change: Change | None) -> None:
         if change is None or policy.checked_change == change.number or not is_idle(policy.check_task):
             return
-        policy.check_task = asyncio.get_running_loop().create_task(self.check(policy, change))
+        policy.check_task = start_task(self.check(policy, change))
 
     async def check(self, policy: RouterPolicy, change: Change) -> None:
         """Have a router check a change, and submit its verdict to the log."""
--- a/maplestile/agent/rollout_controller.py
+++ b/maplestile/agent/rollout_controller.py
@@ -17,6 +17,7 @@
 from maplestile.agent.rollout_leader import RolloutLeader
 from maplestile.agent.rollout_steps import LeaseSteps
 from maplestile.common import logs
+from maplestile.common.tasks import start_task
 from maplestile.control.commands import EncodedCommand, Register
 from maplestile.control.errors import LogError
 from maplestile.control.log_view import LogAnswer
@@ -59,7 +60,7 @@
 
     async def run(self) -> None:
         """Run the replicated log and this controller until cancelled. Raises what the log raises."""
-        log_task = asyncio.get_running_loop().create_task(self.replicated_log.run())
+        log_task = start_task(self.replicated_log.run())
         try:
             while not log_task.done():
                 await asyncio.sleep(POLL_INTERVAL_S)
@@ -101,7 +102,7 @@
             return
         if self.heartbeat_task is None or self.heartbeat_task.done():
             self.last_heartbeat_s = time.monotonic()
-            self.heartbeat_task = asyncio.get_running_loop().create_task(self.health.send_heartbeat())
+            self.heartbeat_task = start_task(self.health.send_heartbeat())
 
     # Commands.
 
--- a/maplestile/agent/supervisor.py
+++ b/maplestile/agent/supervisor.py
@@ -15,6 +15,7 @@
 from maplestile.agent.supervised_process import SupervisedProcess
 from maplestile.common.errors import CommandRejected
 from maplestile.common.loop_errors import LoopErrorReporter
+from maplestile.common.tasks import start_task
 from maplestile.control.settings import ControlSettings
 from maplestile.operation.state_folder import ProcessLocks
 
@@ -80,10 +81,9 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload_routers)
 
     def _start_tasks(self) -> list[asyncio.Task[None]]:
-        loop = asyncio.get_running_loop()
-        tasks = [loop.create_task(instance.process.run()) for instance in self.instances.values()]
+        tasks = [start_task(instance.process.run()) for instance in self.instances.values()]
         if self.settings.control is not None:
-            tasks.append(loop.create_task(self._run_control_plane(self.settings.control)))
+            tasks.append(start_task(self._run_control_plane(self.settings.control)))
         return tasks
 
     async def _run_control_plane(self, settings: ControlSettings) -> None:
--- a/maplestile/net/listen.py
+++ b/maplestile/net/listen.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from maplestile.common.tasks import start_task
 from maplestile.net import bounded_reads
 
 ReaderFactory = Callable[[], asyncio.StreamReader]
@@ -117,7 +118,7 @@
                     return
                 self._record_failed_connection(error)
             else:
-                task = self._loop.create_task(self._serve_accepted(peer))
+                task = start_task(self._serve_accepted(peer))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
 
--- a/maplestile/net/runners.py
+++ b/maplestile/net/runners.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+from maplestile.common.tasks import start_task
 from maplestile.dispatch.api import Result
 from maplestile.net import bounded_reads
 from maplestile.requests.pool import Connection, Pool
@@ -35,7 +36,7 @@
         self.writer.write(line)
         if not self.has_unwritten_data():
             return True
-        asyncio.get_running_loop().create_task(self._drain())
+        start_task(self._drain())
         return False
 
     def has_unwritten_data(self) -> bool:
@@ -69,7 +70,7 @@
 
     def dial(self, connection: Connection) -> None:
         """Start the task of a connection; when it ends, it closes the connection at the pool."""
-        self.tasks[connection] = asyncio.get_running_loop().create_task(self._serve(connection))
+        self.tasks[connection] = start_task(self._serve(connection))
 
     def disconnect(self, connection: Connection) -> None:
         """Cancel the task of a connection that the pool has closed."""
