No log line stops a router: any line is read on, errors are short, and standard error never blocks

Cause: the error quoted the value whole, so the log line had 80 KB; the agent's readline raised ValueError over 64 KB, which ended the task that reads the log and would restart the process; once the pipe was full, the router's next log line blocked its event loop.

--- a/maplestile/agent/command_results.py
+++ b/maplestile/agent/command_results.py
@@ -6,6 +6,7 @@
 
 from maplestile.agent.router_client import OperatorReply
 from maplestile.agent.supervised_process import ProcessStatus
+from maplestile.common.text import shortened
 from maplestile.control.commands import EncodedReply
 from maplestile.control.log_view import LogAnswer, VoterStatus
 from maplestile.control.policy.agreed import AgreedPolicies
@@ -28,7 +29,7 @@
 
     def encoded(self) -> dict[str, Any]:
         """Return the JSON object of the reply."""
-        return {"error": self.reason}
+        return {"error": shortened(self.reason)}
 
 
 # Results of commands about processes, by instance name.
--- a/maplestile/agent/process_launcher.py
+++ b/maplestile/agent/process_launcher.py
@@ -6,9 +6,10 @@
 from functools import partial
 
 from maplestile.agent.adopted_process import AdoptedProcess
-from maplestile.agent.log_reader import read_lines
+from maplestile.agent.log_reader import read_lines, read_pipe_lines
 from maplestile.agent.process_registry import ProcessRegistry
 from maplestile.agent.settings import InstanceSettings
+from maplestile.common.tasks import start_task
 
 Process = asyncio.subprocess.Process | AdoptedProcess
 
@@ -53,16 +54,16 @@
     async def follow(self, process: Process, log_offset: int, handle_line: Callable[[bytes], None]) -> int:
         """Pass each log line to `handle_line` until the process ends, and return its exit code.
 
-        A log file is read from `log_offset` on.
+        A log file is read from `log_offset` on. Raises OSError if the log cannot be read.
         """
         if self.registry is None:
             assert isinstance(process, asyncio.subprocess.Process)
             assert process.stderr is not None
-            while line := await process.stderr.readline():
+            async for line in read_pipe_lines(process.stderr):
                 handle_line(line)
             return await process.wait()
         ended = asyncio.Event()
-        wait_task = asyncio.get_running_loop().create_task(process.wait())
+        wait_task = start_task(process.wait())
         wait_task.add_done_callback(lambda _: ended.set())
         async for line in read_lines(self.registry.log_file(self.name), log_offset, ended):
             handle_line(line)
--- a/maplestile/agent/process_output.py
+++ b/maplestile/agent/process_output.py
@@ -29,7 +29,7 @@
             return False
         try:
             ((key, value),) = json.loads(line).items()
-        except ValueError:
+        except (ValueError, RecursionError):  # any process may print deeply nested JSON
             return False
         answer = self._pending.pop(key, None)
         if answer is None or answer.done():
--- a/maplestile/agent/supervised_process.py
+++ b/maplestile/agent/supervised_process.py
@@ -1,6 +1,7 @@
 """Supervision of one process: it is started, watched, and restarted with exponential backoff."""
 
 import asyncio
+import contextlib
 import logging
 import signal
 import time
@@ -17,6 +18,7 @@
 
 log = logging.getLogger("maplestile.agent")
 SIGNAL_ANSWER_TIMEOUT_S = 3.0
+READ_AGAIN_S = 0.5  # after a failure to read the log
 BACKOFF_FACTOR = 2  # growth of the backoff with each early end
 
 
@@ -65,13 +67,12 @@
         self.launcher = ProcessLauncher(settings.name, registry)
         self.output = ProcessOutput(settings.name)
         self.process: Process | None = None
-        # Left running by an earlier agent, and adopted instead of a first start; None if there is none.
-        self.orphan: Process | None = None
         self.is_adopted = False  # whether an earlier agent started the current process
         self.state = ProcessState.NEW
         self.starts = 0
         self.changed_at_s = time.monotonic()
         self.last_exit = ""
+        self.failures = 0  # of the supervision, each of which is logged
         self.should_run = asyncio.Event()
         self.should_run.set()
         self.state_changed = asyncio.Condition()
@@ -83,7 +84,6 @@
 
     async def run(self) -> None:
         """Keep the process running while `should_run` is set, until cancelled."""
-        self.orphan = self.launcher.find_orphan()
         while True:
             await self.should_run.wait()
             started_s = time.monotonic()
@@ -99,13 +99,16 @@
         """Start the process, or adopt the orphan, and wait until it ends."""
         try:
             log_offset = self.launcher.log_size()
-            self.is_adopted = self.orphan is not None
+            orphan = None if self.starts else self.launcher.find_orphan()
+            self.is_adopted = orphan is not None
             self.output.drained = False
-            self.process = self.orphan or await self.launcher.start(self.settings)
+            self.process = orphan or await self.launcher.start(self.settings)
         except OSError as error:
             self.last_exit = f"cannot start: {error.strerror}"
             return
-        self.orphan = None
+        except ValueError as error:  # such as a NUL in an argument
+            self.last_exit = f"cannot start: {error}"
+            return
         self.starts += 1
         verb = "adopted" if self.is_adopted else "started"
         log.info("%s: %s, pid %d", self.settings.name, verb, self.process.pid)
@@ -113,11 +116,26 @@
         await self._set_state(ProcessState.RUNNING)
         if not self.should_run.is_set():  # stopped by an operator while the process was being started
             self.send_signal(signal.SIGTERM)
-        exit_code = await self.launcher.follow(self.process, log_offset, self.output.handle)
+        exit_code = await self._follow(self.process, log_offset)
         self.process = None
         self.last_exit = _describe_exit(exit_code, self.is_adopted)
         self.launcher.record(None)
 
+    async def _follow(self, process: Process, log_offset: int) -> int:
+        """Handle the log lines of the process until it ends, and return its exit code.
+
+        A failure ends neither the reading nor the supervision: a process whose log nobody reads may block.
+        """
+        while True:
+            try:
+                return await self.launcher.follow(process, log_offset, self.output.handle)
+            except Exception:
+                self.failures += 1
+                log.exception("%s: its log could not be read; trying again", self.settings.name)
+                await asyncio.sleep(READ_AGAIN_S)
+                with contextlib.suppress(OSError):
+                    log_offset = self.launcher.log_size()
+
     async def _back_off(self, ran_s: float) -> None:
         if ran_s >= self.agent.min_uptime_s:
             self.backoff_s = self.agent.backoff_s
--- a/maplestile/common/logs.py
+++ b/maplestile/common/logs.py
@@ -9,9 +9,13 @@
 import structlog
 from structlog.typing import EventDict, Processor
 
+from maplestile.common import standard_error
+from maplestile.common.text import shortened
+
 WINDOW_S = 10.0
 MAX_PER_WINDOW = 5  # warnings of one kind that are written in a window
 MAX_KINDS = 256  # kinds of warnings that are tracked at once
+MAX_TRACEBACK_CHARACTERS = 20_000
 EVENT_LOGGERS = "maplestile.events"  # common prefix of the loggers of structured events, written as JSON
 
 
@@ -62,6 +66,7 @@
         wrapper_class=structlog.stdlib.BoundLogger,
         cache_logger_on_first_use=True,
     )
+    standard_error.install()
     handler = logging.StreamHandler(sys.stderr)
     handler.addFilter(RateLimit())
     handler.setFormatter(
@@ -106,12 +111,20 @@
 
 def _render_plain(_logger: Any, _method: str, event: EventDict) -> str:
     """Return `LEVEL text`, followed by the traceback of the logged exception, if any."""
-    line = f"{str(event['level']).upper()} {event['event']}"
-    return f"{line}\n{event['exception']}" if "exception" in event else line
+    line = f"{str(event['level']).upper()} {shortened(str(event['event']))}"
+    if "exception" not in event:
+        return line
+    return f"{line}\n{shortened(str(event['exception']), MAX_TRACEBACK_CHARACTERS)}"
+
+
+def _shorten_fields(event: EventDict) -> EventDict:
+    return {name: shortened(value) if isinstance(value, str) else value for name, value in event.items()}
 
 
 def _render(logger: Any, method: str, event: EventDict) -> str:
     """Render a record: structured events as JSON, all others as plain text."""
     is_event = event.pop("_record").name.startswith(EVENT_LOGGERS)
     event.pop("_from_structlog", None)
-    return str((_render_json if is_event else _render_plain)(logger, method, event))
+    if is_event:
+        return str(_render_json(logger, method, _shorten_fields(event)))
+    return _render_plain(logger, method, event)
--- a/maplestile/wire/http.py
+++ b/maplestile/wire/http.py
@@ -6,6 +6,8 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from maplestile.common.text import shortened
+
 Headers = tuple[tuple[str, str], ...]
 """Header fields, as names and values."""
 
@@ -82,7 +84,7 @@
         "type": "about:blank",
         "title": HTTPStatus(status).phrase,
         "status": status,
-        "detail": detail,
+        "detail": shortened(detail),
     }
     content_type = ("Content-Type", "application/problem+json")
     return Response(status, json.dumps(details).encode(), (content_type, *headers))
--- a/maplestile/wire/jsonrpc.py
+++ b/maplestile/wire/jsonrpc.py
@@ -8,6 +8,7 @@
 from functools import lru_cache
 from typing import Any
 
+from maplestile.common.text import shortened
 from maplestile.dispatch.api import Idempotency, Settings
 from maplestile.wire.limits import MessageLimits
 from maplestile.wire.messages import Outcome, Request, Verdict
@@ -36,11 +37,14 @@
     """A fault in the byte stream after which messages can no longer be told apart."""
 
 
+MAX_ERROR_CHARACTERS = 200  # of the text of an error, which may quote a part of the message
+
+
 class RpcError(Exception):
     """An invalid message that is answered with an error; the connection stays open."""
 
     def __init__(self, code: int, text: str, id_: object = None) -> None:
-        super().__init__(text)
+        super().__init__(shortened(text, MAX_ERROR_CHARACTERS))
         self.code = code
         self.id = id_  # identifier of the message; None if it has no usable one
 
