--- a/maplestile/common/standard_error.py
+++ b/maplestile/common/standard_error.py
@@ -85,9 +85,17 @@
 
 
 def install() -> None:
-    """Replace `sys.stderr` of this process, for logs and for all else that is printed there."""
-    if not isinstance(sys.stderr, StandardError):
-        sys.stderr = cast(TextIO, StandardError(sys.stderr.fileno()))
+    """Replace `sys.stderr` of this process, for logs and for all else that is printed there.
+
+    A stream without a file descriptor, such as one in memory, stays.
+    """
+    if isinstance(sys.stderr, StandardError):
+        return
+    try:
+        descriptor = sys.stderr.fileno()
+    except OSError:
+        return
+    sys.stderr = cast(TextIO, StandardError(descriptor))
 
 
 def _reopen_nonblocking(descriptor: int) -> int:
