--- a/maplestile/invoke/api.py
+++ b/maplestile/invoke/api.py
@@ -3,19 +3,24 @@
 import re
 import secrets
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from functools import partial
 
+from maplestile.dispatch.api import Idempotency
 from maplestile.invoke import problems
 from maplestile.invoke.invocation_request import (
     KEY_HEADER,
     RESPOND_ASYNC,
     InvocationRequest,
     build_core_request,
+    from_stored,
     read_invocation,
+    to_stored,
 )
 from maplestile.invoke.operator_file import OperatorSettings
+from maplestile.invoke.record_events import StoredInvocation
+from maplestile.invoke.record_journal import RecordJournal
 from maplestile.invoke.store import InvocationRecord, InvocationStore
 from maplestile.requests.core import Core
 from maplestile.wire.http import (
@@ -28,7 +33,7 @@
     require_method,
     retry_after,
 )
-from maplestile.wire.messages import Outcome, Request
+from maplestile.wire.messages import Outcome, Request, Verdict
 
 INVOCATIONS_PATH = re.compile(r"/v1/functions/([^/?]+)/invocations")
 INVOCATION_PATH = re.compile(r"/v1/invocations/([0-9a-f]+)")
@@ -43,11 +48,17 @@
 class InvokeApi:
     """The application behind the invoke front."""
 
-    def __init__(self, core: Core, operator: OperatorSettings, counters: Counter[str]) -> None:
+    def __init__(
+        self,
+        core: Core,
+        operator: OperatorSettings,
+        counters: Counter[str],
+        journal: RecordJournal | None = None,
+    ) -> None:
         self.core = core
         self.operator = operator
         self.counters = counters
-        self.store = InvocationStore(operator.records, operator.record_us, core.call_at, counters)
+        self.store = InvocationStore(operator.records, operator.record_us, core.call_at, counters, journal)
         self.in_flight: Counter[str] = Counter()  # open calls by tenant
         self.bounds = self._bounds()
 
@@ -136,7 +147,8 @@
                 return self._invoke_unrecorded(invocation, respond)
         record = existing or self._start_recorded(invocation)
         if invocation.deferred:
-            record.deferred = True
+            if not self.store.mark_deferred(record):
+                raise self._cannot_keep()
             respond(_accepted(record))
             return do_nothing
         if record.answer is not None:
@@ -179,24 +191,95 @@
             scope=invocation.scope,
             fingerprint=invocation.fingerprint(),
             deadline_us=invocation.received_us + invocation.budget_us,
+            deferred=invocation.deferred,
         )
-        self.store.add(record)
+        if not self.store.accept(record, to_stored(invocation, record.id)):
+            raise self._cannot_keep()
         self._submit(build_core_request(invocation, self.operator), record, invocation.received_us)
         return record
 
+    def _cannot_keep(self) -> RequestRejected:
+        """Return the rejection of a deferred call while the journal cannot be written."""
+        self.counters["invoke.cannot_keep"] += 1
+        return RequestRejected(problem(503, "the call cannot be kept now", retry_after(RETRY_AFTER_US)))
+
     def _submit(self, request: Request, record: InvocationRecord, received_us: int) -> None:
         self.in_flight[request.tenant] += 1
-        finish = partial(self._finish_recorded, request.tenant, record)
+        finish = partial(self._finish_recorded, request, record)
         record.call = self.core.submit(request, received_us, finish)
 
-    def _finish_recorded(self, tenant: str, record: InvocationRecord, outcome: Outcome) -> None:
-        self.in_flight[tenant] -= 1
+    def _finish_recorded(self, request: Request, record: InvocationRecord, outcome: Outcome) -> None:
+        self.in_flight[request.tenant] -= 1
+        if self._is_left_to_next_process(request, record, outcome):
+            return
         is_wanted = bool(record.waiters) or record.deferred or not record.abandoned
         if not is_wanted and not outcome.may_have_run:
             self.store.drop(record)  # nothing ran and no caller got an answer, so the key may be used again
         else:
             self.store.finish(record, problems.response_to(outcome))
 
+    def _is_left_to_next_process(self, request: Request, record: InvocationRecord, outcome: Outcome) -> bool:
+        """Return whether a call that this process ends with its own exit is run again by the next one."""
+        return (
+            outcome.verdict is not Verdict.SERVED
+            and self.core.exit_us > 0
+            and self.store.journal is not None
+            and record.deferred
+            and not record.waiters
+            and self.core.clock() < record.deadline_us
+            and self.may_run_again(request.class_name)
+        )
+
+    def may_run_again(self, class_name: str) -> bool:
+        """Return whether calls of a class may be repeated without restriction."""
+        classes = {call_class.name: call_class.idempotency for call_class in self.core.settings.classes}
+        return classes.get(class_name) is Idempotency.IDEMPOTENT
+
+    # Records of an earlier process.
+
+    def restore(self, invocations: Iterable[StoredInvocation]) -> None:
+        """Take over the records that the journal had when this process started.
+
+        A pending call may have run. It is run again if that does no harm and somebody may collect its answer;
+        otherwise its final answer is that it failed.
+        """
+        for invocation in invocations:
+            self._restore(invocation)
+
+    def _restore(self, invocation: StoredInvocation) -> None:
+        now_us = self.core.clock()
+        record = InvocationRecord(
+            id=invocation.id,
+            scope=invocation.scope,
+            fingerprint=invocation.fingerprint,
+            deadline_us=invocation.due_us,
+            answer=invocation.answer,
+            delivered=invocation.delivered,
+            deferred=invocation.deferred,
+        )
+        self.counters["invoke.restored"] += 1
+        self.store.add(record)
+        if now_us >= record.deadline_us + self.store.retention_us:
+            self.store.drop(record)
+        elif now_us >= record.deadline_us:
+            self.store.expire(record)
+        elif record.answer is None:
+            self._resume(invocation, record, now_us)
+
+    def _resume(self, invocation: StoredInvocation, record: InvocationRecord, now_us: int) -> None:
+        """Run a pending call again, or give it its final answer."""
+        function = self.operator.functions.get(invocation.function)
+        known = function is not None and invocation.class_name in self.operator.deadlines_us
+        if function is None or not known or not self.may_run_again(invocation.class_name):
+            self.counters["invoke.ended_by_restart"] += 1
+            self.store.finish(record, problem(502, "the call failed as its router ended; it may have run"))
+        elif not record.deferred:  # its caller has gone, and a repeat under its key may run
+            self.store.drop(record)
+        else:
+            self.counters["invoke.run_again"] += 1
+            request = from_stored(invocation, function, now_us)
+            self._submit(build_core_request(request, self.operator), record, now_us)
+
     def _remove_waiter(self, record: InvocationRecord, respond: Respond) -> None:
         """Remove a caller that has disconnected from those that wait for a record's answer.
 
--- a/maplestile/invoke/invocation_request.py
+++ b/maplestile/invoke/invocation_request.py
@@ -6,7 +6,7 @@
 
 from maplestile.invoke.operator_file import OperatorSettings
 from maplestile.invoke.operator_tables import FunctionSettings
-from maplestile.invoke.store import KeyScope
+from maplestile.invoke.record_events import KeyScope, StoredInvocation
 from maplestile.wire.http import HttpRequest, RequestRejected, problem
 from maplestile.wire.messages import Request
 
@@ -90,6 +90,35 @@
     )
 
 
+def to_stored(invocation: InvocationRequest, id_: str) -> StoredInvocation:
+    """Return the form of an invocation that the journal keeps."""
+    return StoredInvocation(
+        id=id_,
+        fingerprint=invocation.fingerprint(),
+        due_us=invocation.received_us + invocation.budget_us,
+        function=invocation.function.name,
+        class_name=invocation.class_name,
+        tenant=invocation.tenant,
+        key=invocation.key,
+        body=invocation.body,
+        deferred=invocation.deferred,
+    )
+
+
+def from_stored(stored: StoredInvocation, function: FunctionSettings, now_us: int) -> InvocationRequest:
+    """Return the request of an invocation that the journal has kept, with the time that it has left."""
+    return InvocationRequest(
+        function=function,
+        class_name=stored.class_name,
+        tenant=stored.tenant,
+        key=stored.key,
+        budget_us=stored.due_us - now_us,
+        deferred=stored.deferred,
+        body=stored.body,
+        received_us=now_us,
+    )
+
+
 def _tenant(request: HttpRequest, operator: OperatorSettings) -> str:
     tenant = request.headers.get(TENANT_HEADER, "")
     if operator.tenants and tenant not in operator.tenants:
--- a/maplestile/invoke/operator_file.py
+++ b/maplestile/invoke/operator_file.py
@@ -37,6 +37,7 @@
 TIMER_TICK_US = 4_000
 LOAD_TIMEOUT_US = 10_000_000
 STREAMS_PER_CONNECTION = 32  # attempts in flight on one connection to a worker
+RECORDS_FOLDER = "records"  # in the folder of the operators' front
 CONNECTION_IDLE_US = 15_000_000  # after this idle time a worker closes a connection
 # The guarantees of every router with an operator's file; the file cannot change them.
 GUARANTEES = {
@@ -67,6 +68,7 @@
     node: Mapping[str, Any] = field(hash=False)  # in the form of the platform's settings
     policy: PolicySettings | None = None  # None if the policy is that of this file
     epoch: int = 0  # of the adopted policy; 0 if none was adopted
+    records_folder: Path | None = None  # of the invocation records; None for memory alone
 
 
 @dataclass(slots=True, frozen=True)
@@ -169,9 +171,16 @@
         node=node,
         policy=policy,
         epoch=epoch,
+        records_folder=_records_folder(single.invoke, node),
     )
 
 
+def _records_folder(invoke: TomlTable, node: Mapping[str, Any]) -> Path | None:
+    if folder := invoke.text("folder", ""):
+        return Path(folder)
+    return Path(node["folder"]) / RECORDS_FOLDER if node.get("folder") else None
+
+
 # The configuration of the rest of the router, in the form of the platform's settings.
 
 
--- a/maplestile/invoke/store.py
+++ b/maplestile/invoke/store.py
@@ -2,14 +2,16 @@
 
 A record is pending until its call is answered. An answer that was delivered never changes. A result that was
 not delivered by the deadline is dropped, and the call is reported as failed. Records are kept for a limited
-time, and their number is limited: while the store is full, new calls that need a record are rejected.
+time, and their number is limited: while the store is full, new calls that need a record are rejected. With a
+journal, they outlive the process.
 """
 
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
+from maplestile.invoke.record_events import KeyScope, StoredInvocation
+from maplestile.invoke.record_journal import RecordJournal
 from maplestile.wire.http import Response, problem
 
 FIRST_ERROR_STATUS = 400  # HTTP statuses from here on are errors
@@ -17,14 +19,6 @@
 Timer = Callable[[int, Callable[[], object]], None]  # calls a function at a time of the core's clock
 
 
-class KeyScope(NamedTuple):
-    """The scope in which a repeat of an idempotency key is the same invocation."""
-
-    function: str
-    tenant: str
-    key: str
-
-
 @dataclass(slots=True, eq=False)
 class InvocationRecord:
     """The state of one invocation, and its answer."""
@@ -44,11 +38,19 @@
 class InvocationStore:
     """The invocation records, by id and by the scope of their idempotency keys."""
 
-    def __init__(self, max_records: int, retention_us: int, call_at: Timer, counters: Counter[str]) -> None:
+    def __init__(
+        self,
+        max_records: int,
+        retention_us: int,
+        call_at: Timer,
+        counters: Counter[str],
+        journal: RecordJournal | None = None,
+    ) -> None:
         self.max_records = max_records
         self.retention_us = retention_us  # how long a record is kept after its deadline
         self.records: dict[str, InvocationRecord] = {}
         self.by_scope: dict[KeyScope, InvocationRecord] = {}
+        self.journal = journal  # None if records are lost with the process
         self._call_at = call_at
         self._counters = counters
 
@@ -56,16 +58,31 @@
         """Return whether no further record can be added."""
         return len(self.records) >= self.max_records
 
+    def accept(self, record: InvocationRecord, invocation: StoredInvocation) -> bool:
+        """Add a new record; return false, and do not add it, if it is deferred and cannot be kept."""
+        if self.journal is not None and not self.journal.accept(invocation) and record.deferred:
+            return False
+        self.add(record)
+        return True
+
+    def mark_deferred(self, record: InvocationRecord) -> bool:
+        """Make an invocation deferred; return whether that can be kept."""
+        if record.deferred:
+            return True
+        record.deferred = True
+        return self.journal is None or self.journal.mark_deferred(record.id)
+
     def add(self, record: InvocationRecord) -> None:
-        """Add a record until `retention_us` after its deadline."""
+        """Keep a record until `retention_us` after its deadline."""
         self.records[record.id] = record
         if record.scope is not None:
             self.by_scope[record.scope] = record
-        self._call_at(record.deadline_us, lambda: self._expire(record))
+        self._call_at(record.deadline_us, lambda: self.expire(record))
 
     def drop(self, record: InvocationRecord) -> None:
         """Remove a record, so that its idempotency key may be used again."""
-        self.records.pop(record.id, None)
+        if self.records.pop(record.id, None) is not None and self.journal is not None:
+            self.journal.drop(record.id)
         if record.scope is not None and self.by_scope.get(record.scope) is record:
             del self.by_scope[record.scope]
 
@@ -83,22 +100,30 @@
         """Set the answer of a record and deliver it to the waiting callers; later answers are ignored."""
         if record.answer is not None:
             return
-        record.answer = answer
+        self._set_answer(record, answer)
         self._deliver_to_waiters(record)
 
     def deliver(self, record: InvocationRecord) -> Response:
         """Return the answer of a finished record and mark it as delivered, so that it never changes."""
         assert record.answer is not None
-        record.delivered = True
+        if not record.delivered:
+            record.delivered = True
+            if self.journal is not None:
+                self.journal.mark_delivered(record.id)
         return record.answer
 
+    def _set_answer(self, record: InvocationRecord, answer: Response) -> None:
+        record.answer = answer
+        if self.journal is not None:
+            self.journal.finish(record.id, answer)
+
     def _deliver_to_waiters(self, record: InvocationRecord) -> None:
         waiters = record.waiters
         record.waiters = []
         for respond in waiters:
             respond(self.deliver(record))
 
-    def _expire(self, record: InvocationRecord) -> None:
+    def expire(self, record: InvocationRecord) -> None:
         """Fail a record whose answer was not delivered by its deadline, and schedule its removal.
 
         So no result that nobody collects is kept. A delivered answer stays, since it must never change.
@@ -107,7 +132,7 @@
             return  # already dropped
         if not record.delivered:
             self._counters["invoke.lapsed"] += 1
-            record.answer = _expired_answer(record)
+            self._set_answer(record, _expired_answer(record))
             self._deliver_to_waiters(record)
         self._call_at(record.deadline_us + self.retention_us, lambda: self.drop(record))
 
--- a/maplestile/router/components.py
+++ b/maplestile/router/components.py
@@ -26,6 +26,7 @@
     from maplestile.operation.handover import Handover
     from maplestile.operation.shared_endpoints import SharedEndpoints
     from maplestile.router.policy_driver import PolicyDriver
+    from maplestile.router.records import Records
 
 
 @dataclass(slots=True)
@@ -57,6 +58,7 @@
         self.platform: PlatformFront | None = None
         self.platform_listener: Listener | None = None
         self.invoke: InvokeFront | None = None
+        self.records: Records | None = None  # None if invocation records are kept in memory alone
         self.cordons: Cordons | None = None
         self.handover: Handover | None = None
         self.shared_endpoints: SharedEndpoints | None = None  # created together with the handover
--- a/maplestile/router/config.py
+++ b/maplestile/router/config.py
@@ -52,6 +52,8 @@
         if self.operator_settings is not None and new.operator_settings is not None:
             if self.operator_settings.listen != new.operator_settings.listen:
                 changed.append("invoke.listen")
+            if self.operator_settings.records_folder != new.operator_settings.records_folder:
+                changed.append("invoke.folder")
             if self.operator_settings.policy != new.operator_settings.policy:
                 changed.append("policy")
         return changed
--- a/maplestile/router/fronts.py
+++ b/maplestile/router/fronts.py
@@ -108,12 +108,17 @@
 async def _open_invoke_front(components: Components) -> Listener:
     from maplestile.invoke.api import InvokeApi
     from maplestile.net.http import HttpFront
+    from maplestile.router.records import open_records
 
     settings = components.config.operator_settings
     assert settings is not None
-    api = InvokeApi(components.core, settings, components.counters)
+    components.records = await open_records(components, settings.records_folder)
+    journal = None if components.records is None else components.records.journal
+    api = InvokeApi(components.core, settings, components.counters, journal)
     http = HttpFront("invoke", api, components.counters, components.received_us)
     listener = await http.start(*parse_address(settings.listen))
+    if components.records is not None:
+        api.restore(components.records.invocations)  # before a caller can ask for one of them
     components.invoke = InvokeFront(api, http, listener)
     _log_listener(components, "invoke", listener)
     return listener
--- a/maplestile/router/process.py
+++ b/maplestile/router/process.py
@@ -73,6 +73,8 @@
                 listener.close()
         self.supervisor.cancel_all()
         self.gc_scheduler.stop()
+        if self.components.records is not None:
+            self.components.records.journal.close()
         self.print_counters()
 
     def print_counters(self) -> None:
--- a/tests/test_invocation_store.py
+++ b/tests/test_invocation_store.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from maplestile.invoke.store import InvocationRecord, InvocationStore, KeyScope
+from maplestile.invoke.record_events import KeyScope
+from maplestile.invoke.store import InvocationRecord, InvocationStore
 from maplestile.wire.http import Response
 
 
