Operators' cordons outlive a restart of a router whose file names no folder

They are now kept in the file's own folder, where its invocation records are. tests/test_process_invoke_restart.py has a cordon and its lifting, each across SIGKILL; it came with the change and was not run on the code before, where by reading no folder was used.

--- a/maplestile/router/file_configuration.py
+++ b/maplestile/router/file_configuration.py
@@ -56,4 +56,7 @@
         operator = settings_from_tables(tables, adopted)
         if operator.records_folder is None:
             operator = replace(operator, records_folder=default_folder(self.file) / RECORDS_FOLDER)
-        return config_from({**operator.node, "seed": self._seed}, operator)
+        node = {**operator.node, "seed": self._seed}
+        if node.get("operator") and not node.get("folder"):
+            node["folder"] = str(default_folder(self.file))
+        return config_from(node, operator)
--- a/tests/test_process_invoke_restart.py
+++ b/tests/test_process_invoke_restart.py
@@ -1,5 +1,6 @@
 """Tests of what a router has taken on and still owes when its process ends, with real processes."""
 
+import json
 import signal
 import time
 
@@ -10,13 +11,14 @@
     REPEATABLE_WITH_KEY,
     InvokeTestCase,
 )
+from tests.operation_fixture import change_runner, request_operator
 from tests.standins import PATIENCE_S, Program, eventually
 
 KILL_AFTER_S = 3.7  # SIGKILL after SIGTERM: the longest deadline, counted as 3 s at most, and 0.7 s
 LONG_DEADLINE_MS = "50000"
 
 
-class RestartTest(InvokeTestCase):
+class RestartTestCase(InvokeTestCase):
     """A router whose process ends, and is started again on its file."""
 
     def restart(self, *signals: signal.Signals) -> None:
@@ -45,6 +47,10 @@
         time.sleep(0.3)
         return location
 
+
+class RecordsTest(RestartTestCase):
+    """Invocation records across restarts."""
+
     def test_results_that_wait_to_be_collected_outlive_any_end_of_the_process(self) -> None:
         """Guards against 404 for a call that was accepted with 202, and has run."""
         ends = (signal.SIGTERM,), (signal.SIGTERM, signal.SIGKILL), (signal.SIGKILL,)
@@ -105,11 +111,29 @@
         self.assertEqual(self.request("GET", location)[0], 504)
 
 
+class CordonsTest(RestartTestCase):
+    """Cordons of a router whose file names no folder."""
+
+    def is_suspended(self) -> bool:
+        """Return whether the runner `w1` is suspended."""
+        status, body = request_operator(self.program, "/v1/runners")
+        self.assertEqual(status, 200)
+        listed = {runner["id"]: runner["suspended"] for runner in json.loads(body)["runners"]}
+        return bool(listed["w1"])
+
+    def test_cordon_outlives_the_process(self) -> None:
+        """Guards against calls to a runner that an operator has taken out, after a restart of the router."""
+        for action, suspended in (("suspend", True), ("resume", False)):
+            self.assertEqual(change_runner(self.program, "w1", action), 204)
+            self.restart(signal.SIGKILL)
+            self.assertEqual(self.is_suspended(), suspended)
+
+
 class DiskFullTest(InvokeTestCase):
     """A router that cannot write its records: its folder is on a device without room."""
 
     def edit_operator_file(self, text: str) -> str:
-        return text.replace("[invoke]\n", '[invoke]\nfolder = "/dev/full/records"\n')
+        return text.replace("[invoke]", '[invoke]\nfolder = "/dev/full/records"\n', 1)
 
     def test_router_serves_without_a_folder_for_its_records(self) -> None:
         self.assertEqual(self.post(REPEATABLE, b"abc")[0], 200)
