--- a/maplestile/control/log_storage.py
+++ b/maplestile/control/log_storage.py
@@ -7,19 +7,20 @@
 
     journal         a header of 40 bytes, then records: size, index, term, command, size again
     journal.meta    the voter's term and its vote in that term
-    snapshot        gzip, with a checksum of its content
+    snapshot        the replicated state, see `control/snapshot.py`
     voter           the name of the voter that owns the folder, written by this module
 """
 
-import gzip
+import os
 import pickle
 import struct
-import zlib
 from pathlib import Path
-from typing import NoReturn
+from typing import NamedTuple, NoReturn
 
 from maplestile.common import durable_file as durable
 from maplestile.common.errors import CommandRejected
+from maplestile.control import snapshot
+from maplestile.control.snapshot import EarlierReleaseSnapshot
 
 JOURNAL_MAGIC = b"PYSYNCOBJ"
 JOURNAL_FORMAT_VERSION = 1
@@ -32,7 +33,21 @@
 TERM_LIMIT = 1 << 40
 OWNER_FILE = "voter"
 OWNER_VERSION = 1
-READ_CHUNK_BYTES = 1 << 16
+NO_INDEX = 0  # an index that no entry has
+FIRST_INDEX = 1  # of the entry that the library writes into a new log
+NO_TERM = 0
+EARLIER_SNAPSHOT_FILE = "snapshot.earlier-release"
+
+
+class JournalEntries(NamedTuple):
+    """The entries of a journal: their first and last index, and the term of the last."""
+
+    first: int
+    last: int
+    last_term: int
+
+
+NO_ENTRIES = JournalEntries(NO_INDEX, NO_INDEX, NO_TERM)
 
 
 class RestrictedUnpickler(pickle.Unpickler):
@@ -50,36 +65,44 @@
     OSError.
     """
     owner = durable.read(folder / OWNER_FILE, OWNER_VERSION)
+    if owner is None and (folder / OWNER_FILE).exists():
+        raise CommandRejected(f"{folder / OWNER_FILE}: damaged: whose folder it is cannot be read")
     if owner is not None and owner != voter:
         raise CommandRejected(f"{folder / OWNER_FILE}: the folder is of voter '{owner}'")
     journal = folder / "journal"
     meta = folder / "journal.meta"
-    snapshot = folder / "snapshot"
+    snapshot_file = folder / "snapshot"
+    entries = NO_ENTRIES
     if journal.exists():
-        _check_terms(journal, meta)
-    elif meta.exists() or snapshot.exists():
+        entries = _check_terms(journal, meta)
+    elif meta.exists() or snapshot_file.exists():
         raise CommandRejected(f"{journal}: is missing beside what belongs to it")
-    if snapshot.exists():
-        _check_snapshot(snapshot)
+    if snapshot_file.exists():
+        _check_snapshot(snapshot_file, journal, entries)
+    elif entries.first > FIRST_INDEX:
+        raise CommandRejected(f"{snapshot_file}: is missing, and the journal begins at entry {entries.first}")
     if owner is None:
         durable.write(folder / OWNER_FILE, OWNER_VERSION, voter)
 
 
-def _check_terms(journal: Path, meta: Path) -> None:
-    last_term = _check_journal(journal)
+def _check_terms(journal: Path, meta: Path) -> JournalEntries:
+    """Check a journal beside the voter's term, and return what entries it has."""
+    entries = _check_journal(journal)
     term = _voter_term(meta)
-    if last_term > term:
-        reason = f"{meta}: its term is {term}, and the journal has one of {last_term}: it is stale"
+    if entries.last_term > term:
+        reason = f"{meta}: its term is {term}, and the journal has one of {entries.last_term}: it is stale"
         raise CommandRejected(reason)
+    return entries
 
 
-def _check_journal(path: Path) -> int:
-    """Check a journal and return the term of its last record; 0 if it has none."""
+def _check_journal(path: Path) -> JournalEntries:
+    """Check a journal, and return what entries it has."""
     data = path.read_bytes()
     end = _end_of_records(path, data)
     offset = HEADER_BYTES
-    index = 0
-    term = 0
+    first_index = NO_INDEX
+    index = NO_INDEX
+    term = NO_TERM
     while offset < end:
         size = _record_size(path, data, offset, end)
         previous_index = index
@@ -91,8 +114,9 @@
             raise CommandRejected(
                 f"{place}: entry {index} of term {term} after {previous_index} of {previous_term}"
             )
+        first_index = first_index or index
         offset += SIZE.size + size + SIZE.size
-    return int(term)
+    return JournalEntries(int(first_index), int(index), int(term))
 
 
 def _end_of_records(path: Path, data: bytes) -> int:
@@ -132,19 +156,48 @@
     return term
 
 
-def _check_snapshot(path: Path) -> None:
+def _check_snapshot(path: Path, journal: Path, entries: JournalEntries) -> None:
+    """Check a snapshot beside a journal.
+
+    One of an earlier release lacks the state. It is set aside if the journal has every entry: the state then
+    comes from them. Otherwise the state is lost here, and the folder is refused.
+    """
     try:
-        content_bytes = _decompressed_size(path)
-    except (OSError, EOFError, zlib.error) as error:
-        raise CommandRejected(f"{path}: not whole: {error}") from None
-    if not content_bytes:
-        raise CommandRejected(f"{path}: not whole: there is nothing in it")
-
-
-def _decompressed_size(path: Path) -> int:
-    """Return the size of the decompressed content. Raises OSError, EOFError or zlib.error on damage."""
-    content_bytes = 0
-    with gzip.open(path) as file:
-        while chunk := file.read(READ_CHUNK_BYTES):
-            content_bytes += len(chunk)
-    return content_bytes
+        _, last_index, _ = snapshot.read(path).last_entry
+    except EarlierReleaseSnapshot as error:
+        if entries.first != FIRST_INDEX:
+            raise CommandRejected(
+                f"{error}; the entries before {entries.first} are gone, so this voter takes no part. Note "
+                "what `rollout status` and `policy status` say where a voter still runs. To accept the loss, "
+                f"move {path.parent} away at every voter with such a folder, and propose the policy again"
+            ) from None
+        path.replace(path.with_name(EARLIER_SNAPSHOT_FILE))
+        return
+    except OSError as error:
+        raise CommandRejected(f"{path}: cannot be read: {error}") from None
+    if entries.first > last_index:
+        raise CommandRejected(
+            f"{journal}: begins at entry {entries.first}, and the snapshot ends at {last_index}"
+        )
+    if entries.first < last_index - 1 < entries.last:
+        _remove_entries_before(journal, last_index - 1)
+
+
+def _remove_entries_before(path: Path, index: int) -> None:
+    """Remove the entries that the snapshot contains, as the voter does once it has written one.
+
+    If the voter was killed between the two, pysyncobj would remove the later entries as well.
+    """
+    data = path.read_bytes()
+    end = _end_of_records(path, data)
+    offset = HEADER_BYTES
+    while INDEX_AND_TERM.unpack_from(data, offset + SIZE.size)[0] < index:
+        offset += SIZE.size + _record_size(path, data, offset, end) + SIZE.size
+    records = data[offset:end]
+    content = data[:RECORDS_END_OFFSET] + SIZE.pack(HEADER_BYTES + len(records)) + records
+    temporary = path.with_name(f"{path.name}.new")
+    with temporary.open("wb") as file:
+        file.write(content.ljust(len(data), b"\0"))
+        file.flush()
+        os.fsync(file.fileno())
+    temporary.replace(path)
--- a/maplestile/control/raft_log.py
+++ b/maplestile/control/raft_log.py
@@ -6,10 +6,12 @@
 """
 
 import asyncio
+import logging
 import time
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 from pysyncobj import (  # type: ignore[import-untyped]  # the library has no types
@@ -21,6 +23,7 @@
 from pysyncobj.node import TCPNode  # type: ignore[import-untyped]  # the library has no types
 
 from maplestile.common.errors import CommandRejected
+from maplestile.control import snapshot
 from maplestile.control.commands import (
     Accepted,
     Command,
@@ -37,14 +40,18 @@
 from maplestile.control.log_storage import check_folder
 from maplestile.control.log_view import ReceivedHeartbeat, RouterStatus, VoterStatus
 from maplestile.control.settings import ControlSettings, Voter
+from maplestile.control.snapshot import LogEntry, Snapshot, SnapshotError
 from maplestile.control.state import ControlState
 
 __all__ = ["LogError", "RaftLog"]
 
+log = logging.getLogger("maplestile.control")
+
 TICK_INTERVAL_S = 0.01
 # For a command to be replicated: an election takes up to 1.4 s, and a lossy link may need more than one.
 ANSWER_TIMEOUT_S = 5.0
 RETRY_INTERVAL_S = 0.1
+SNAPSHOT_RETRY_S = 5.0  # after a snapshot that could not be written
 US_PER_S = 1e6
 # The library's failure reasons that mean that a command is certainly not in the log: the queue was full, no
 # leader was known, or another entry took its place.
@@ -74,9 +81,8 @@
     """The object to which the library applies the entries of the log, in the same order on every voter."""
 
     def __init__(self, own_node: TCPNode, other_nodes: list[TCPNode], conf: SyncObjConf) -> None:
-        # The library's snapshots omit attributes that are set before its constructor runs, so they lack these
-        # (see docs/ROADMAP.md).
-        self.state = ControlState()
+        self.state = ControlState()  # the library's own snapshots would omit it (see `control/snapshot.py`)
+        # What agents report again within seconds is in no snapshot.
         self.heartbeats: dict[str, ReceivedHeartbeat] = {}  # by agent
         self.router_status: dict[str, ReceivedRouterStatus] = {}  # by agent
         super().__init__(own_node, other_nodes, conf)
@@ -144,6 +150,8 @@
         assert settings.folder is not None
         self.settings = settings
         self.counters = counters
+        self.failure: Exception | None = None  # why this voter can take no further part
+        self._failed_write_s = -SNAPSHOT_RETRY_S  # when a snapshot last could not be written
         settings.folder.mkdir(parents=True, exist_ok=True)
         check_folder(settings.folder, settings.name)
         own_node = TCPNode(next(voter.address for voter in settings.voters if voter.name == settings.name))
@@ -158,6 +166,8 @@
             useFork=False,
             journalFile=str(settings.folder / "journal"),
             fullDumpFile=str(settings.folder / "snapshot"),
+            serializer=self._write_snapshot,
+            deserializer=self._read_snapshot,
             **RAFT_TIMES_S,
         )
         self.replica = Replica(own_node, other_nodes, conf)
@@ -201,14 +211,49 @@
         )
 
     async def run(self) -> None:
-        """Take part in Raft until cancelled."""
+        """Take part in Raft until cancelled. Raises SnapshotError or OSError if a snapshot cannot be used."""
         try:
             while True:
                 self.replica.doTick(0.0)
+                if self.failure is not None:
+                    raise self.failure
                 await asyncio.sleep(TICK_INTERVAL_S)
         finally:
             self.replica.destroy()
 
+    # Snapshots. The library calls these within a tick, and only logs what they raise.
+
+    def _write_snapshot(self, file_name: str, data: tuple[LogEntry, LogEntry, object]) -> None:
+        """Write the state for the library, which then replaces the old snapshot. Raises OSError.
+
+        Without a snapshot the log goes on growing, and the library tries again in each tick.
+        """
+        if time.monotonic() - self._failed_write_s < SNAPSHOT_RETRY_S:
+            raise OSError("the last snapshot could not be written")
+        last_entry, previous_entry, _ = data
+        try:
+            snapshot.write(Path(file_name), Snapshot(self.replica.state, last_entry, previous_entry))
+        except OSError as error:
+            self._failed_write_s = time.monotonic()
+            self.counters["control.snapshot_faults"] += 1
+            log.warning("control: the snapshot cannot be written, trying again: %s", error)
+            raise
+        self.counters["control.snapshots"] += 1
+
+    def _read_snapshot(self, file_name: str) -> tuple[LogEntry, LogEntry, tuple[()]]:
+        """Take over the state of a snapshot, this voter's own or one that the leader has sent.
+
+        If it cannot be used, the voter ends: with a state that lacks what the log no longer has, it would
+        agree on an empty fleet.
+        """
+        try:
+            read = snapshot.read(Path(file_name))
+        except (SnapshotError, OSError) as error:
+            self.failure = error
+            raise
+        self.replica.state = read.state
+        return read.last_entry, read.previous_entry, ()
+
     async def submit(self, command: Command | EncodedCommand) -> EncodedReply:
         """Append a command to the log, wait until it is applied, and return the wire form of the reply.
 
--- a/tests/test_log_storage.py
+++ b/tests/test_log_storage.py
@@ -1,6 +1,5 @@
 """Tests of the check of a voter's files at startup."""
 
-import gzip
 import pickle
 import struct
 import tempfile
@@ -10,7 +9,10 @@
 from pysyncobj.journal import FileJournal  # type: ignore[import-untyped]  # the library has no types
 
 from maplestile.common.errors import CommandRejected
+from maplestile.control import snapshot
 from maplestile.control.log_storage import check_folder
+from maplestile.control.snapshot import Snapshot
+from maplestile.control.state import ControlState
 
 
 class FolderTest(unittest.TestCase):
@@ -23,8 +25,8 @@
         for index, term in ((1, 0), (2, 1), (3, 3)):
             journal.add(b"command", index, term)
         journal._destroy()
-        with gzip.open(self.folder / "snapshot", "wb") as file:
-            file.write(bytes(1000))
+        entries = (b"command", 2, 1), (b"command", 1, 0)
+        snapshot.write(self.folder / "snapshot", Snapshot(ControlState(), *entries))
         check_folder(self.folder, "a1")
         self.intact = {path.name: path.read_bytes() for path in self.folder.iterdir()}
 
@@ -75,6 +77,11 @@
             with self.subTest(place):
                 self.assertIn(f"/journal.meta: {place}", self.rejection_reason("journal.meta", content))
 
+    def test_rejects_damaged_owner_file(self) -> None:
+        """Guards against a voter that claims the folder of another one, whose name cannot be read."""
+        for content in (b"", self.intact["voter"][:-3], b"{}"):
+            self.assertIn("/voter: damaged", self.rejection_reason("voter", content))
+
     def test_rejects_damaged_snapshot_and_folder_of_another_voter(self) -> None:
         snapshot = self.intact["snapshot"]
         for content in (b"", snapshot[:-3], b"x" * 50, snapshot[:-8] + b"\0" * 8):
