A reload that moves discovery leaves the endpoint list to a successor under the new server

Cause: the shared file names the server that its serials are of, and was written only when the list changed; the successor dropped it. Change: the reload writes it, and a write that failed is tried again.

--- a/maplestile/operation/shared_endpoints.py
+++ b/maplestile/operation/shared_endpoints.py
@@ -26,8 +26,8 @@
         self._counters = counters
         self._read_mtime_ns = 0  # of the file when it was last read
 
-    def save(self, endpoints: EndpointList, name_server: Address | None) -> None:
-        """Replace the file; if it cannot be written, the error is counted and logged."""
+    def save(self, endpoints: EndpointList, name_server: Address | None) -> bool:
+        """Replace the file; return false if it cannot be written, which is counted and logged."""
         content = {"name_server": _encode(name_server), "known": endpoints.as_updates()}
         temporary = self._file.with_name(f"{FILE_NAME}.new")
         try:
@@ -35,6 +35,8 @@
             temporary.replace(self._file)
         except OSError as error:
             self._report_error(error)
+            return False
+        return True
 
     def load_if_changed(self, name_server: Address | None) -> EndpointList | None:
         """Return the list in the file, or None if it was read before or cannot be used.
--- a/maplestile/router/components.py
+++ b/maplestile/router/components.py
@@ -64,6 +64,7 @@
         self.shared_endpoints: SharedEndpoints | None = None  # created together with the handover
         self.peers: GossipDriver | None = None
         self.policy: PolicyDriver | None = None
+        self._is_list_saved = True  # false if the list could not be written for a successor
         self._tick_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -98,7 +99,12 @@
     def save_endpoints(self) -> None:
         """Leave the endpoint list to a successor, if this process serves alone."""
         if self.shared_endpoints is not None and self.handover is not None and self.handover.is_alone:
-            self.shared_endpoints.save(self.endpoints, self.config.dns)
+            self._is_list_saved = self.shared_endpoints.save(self.endpoints, self.config.dns)
+
+    def save_endpoints_again(self) -> None:
+        """Leave the endpoint list to a successor if that could not be written before."""
+        if not self._is_list_saved:
+            self.save_endpoints()
 
     def adopt_endpoints(self) -> bool:
         """Apply what the predecessor knows of the endpoints; return whether anything changed."""
--- a/maplestile/router/reload.py
+++ b/maplestile/router/reload.py
@@ -99,6 +99,7 @@
         if config.dns != old.dns:
             applied.append("dns")
             self.discovery.poll(config.dns)
+            components.save_endpoints()  # the serials go on, so the list is now one of the new server
         if self._has_newer_endpoints(config):
             components.endpoints.replace(config.endpoints)
             components.publish_endpoints()
--- a/maplestile/router/takeover.py
+++ b/maplestile/router/takeover.py
@@ -50,6 +50,7 @@
         if self.handover.stage is not stage_before:
             log.info("%s: %s", components.name, self.handover.stage.value)
             components.save_endpoints()
+        components.save_endpoints_again()
         if components.adopt_endpoints():
             log.info("%s: the endpoint list of the other process is newer, and applies", components.name)
             components.publish_endpoints()
--- a/tests/test_process_handover.py
+++ b/tests/test_process_handover.py
@@ -16,7 +16,7 @@
     stop_callers,
     wait_until_ready,
 )
-from tests.standins import PATIENCE_S, Client, Program, eventually
+from tests.standins import PATIENCE_S, Client, NameServer, Program, eventually
 
 PAUSE_S = 0.1  # of a worker: long enough for its calls to be hedged
 
@@ -163,14 +163,17 @@
         self.assertEqual((client.read() or {})["id"], pending_id)  # the pending call was answered
         self.assertEqual(self.program.process.wait(PATIENCE_S), 0)
 
-    def test_successor_of_a_process_with_a_newer_list_calls_no_runner_that_drains_by_it(self) -> None:
-        """Guards against calls to a drained runner while the name server is silent during an upgrade."""
+    def drain_first_worker(self) -> None:
+        """Let the name server tell that the first worker drains, and wait until the router obeys."""
         wait_until_ready(self.program)
         uid, port, _ = self.names.workers[0]
         self.names.serial += 1
         self.names.workers[0] = (uid, port, 1)  # it drains
         client = self.connect()
         eventually(lambda: self.serves_without_first_worker(client), "the drain at the first process")
+
+    def assert_successor_obeys_drain_without_name_server(self) -> None:
+        """Replace the process while the name server is silent; the first worker must get no call."""
         self.names.lose_queries()
         successor = self.start_router(self.program.port("platform"))
         wait_until_ready(successor)
@@ -182,6 +185,21 @@
         serve_calls(client, 12)
         self.assertEqual(len(self.workers[0].ran), ran)
 
+    def test_successor_of_a_process_with_a_newer_list_calls_no_runner_that_drains_by_it(self) -> None:
+        """Guards against calls to a drained runner while the name server is silent during an upgrade."""
+        self.drain_first_worker()
+        self.assert_successor_obeys_drain_without_name_server()
+
+    def test_successor_knows_the_list_although_discovery_has_moved(self) -> None:
+        """Guards against calls to a drained runner, as the shared list still names the earlier server."""
+        self.drain_first_worker()
+        earlier, self.names = self.names, NameServer()
+        self.names.serial, self.names.workers = earlier.serial, list(earlier.workers)
+        self.program.reload(lambda text: text.replace(f":{earlier.port}", f":{self.names.port}"))
+        earlier.lose_queries()
+        eventually(lambda: self.names.queries, "a query to the new server")
+        self.assert_successor_obeys_drain_without_name_server()
+
     def serves_without_first_worker(self, client: Client) -> bool:
         """Make some calls, and return whether the first worker ran none of them."""
         ran = len(self.workers[0].ran)
--- a/tests/test_shared_endpoints.py
+++ b/tests/test_shared_endpoints.py
@@ -65,8 +65,12 @@
     counters = Counter[str]()
     file = tmp_path / "file"
     file.touch()
-    SharedEndpoints(file, counters).save(endpoints(7, a=RUNNING), NAME_SERVER)
+    store = SharedEndpoints(file, counters)
+    assert not store.save(endpoints(7, a=RUNNING), NAME_SERVER)
     assert counters["operation.endpoint_file_faults"] == 1
+    file.unlink()
+    file.mkdir()
+    assert store.save(endpoints(7, a=RUNNING), NAME_SERVER)
 
 
 def test_file_is_replaced_as_a_whole(tmp_path: Path) -> None:
