--- a/maplestile/agent/supervised_process.py
+++ b/maplestile/agent/supervised_process.py
@@ -171,6 +171,7 @@
         """
         self._cancel_restart()
         await self._terminate()
+        await self._wait_until_end_is_noticed()
         if self.state in (ProcessState.NEW, ProcessState.WAITING):
             await self._set_state(ProcessState.STOPPED)
 
@@ -228,6 +229,15 @@
             self.send_signal(signal.SIGKILL)
             await process.wait()
 
+    async def _wait_until_end_is_noticed(self) -> None:
+        """Wait until the log of an ended process has been read, and the state tells of the end.
+
+        A child of the process may keep its log open, so the wait is limited.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.agent.stop_timeout_s), self.state_changed:
+                await self.state_changed.wait_for(lambda: self.state is not ProcessState.RUNNING)
+
     async def _request_by_signal(self, number: signal.Signals, key: str) -> Any:
         """Send a signal and return what the process prints under `key`; None if it prints nothing in time.
 
