--- a/maplestile/common/standard_error.py
+++ b/maplestile/common/standard_error.py
@@ -9,6 +9,7 @@
 import os
 import stat
 import sys
+import threading
 from typing import TextIO, cast
 
 MAX_PENDING_BYTES = 1 << 20  # of text that the reader has not taken yet
@@ -27,6 +28,7 @@
         self._pending = bytearray()  # what could not be written yet
         self._lost = 0  # texts that were lost since the last one that was kept
         self._retry: asyncio.TimerHandle | None = None
+        self._lock = threading.RLock()  # jobs in other threads write logs as well
 
     def fileno(self) -> int:
         """Return the descriptor that the stream was made for."""
@@ -38,13 +40,18 @@
 
     def write(self, text: str) -> int:
         """Add a text to what is written; complete lines are written at once."""
-        self._line += text.encode(errors="replace")
-        if "\n" in text:
-            self.flush()
+        with self._lock:
+            self._line += text.encode(errors="replace")
+            if "\n" in text:
+                self.flush()
         return len(text)
 
     def flush(self) -> None:
         """Write as much as is possible without blocking; the rest is tried again soon."""
+        with self._lock:
+            self._flush()
+
+    def _flush(self) -> None:
         self._keep_line()
         while self._pending:
             try:
--- a/maplestile/invoke/record_journal.py
+++ b/maplestile/invoke/record_journal.py
@@ -24,6 +24,7 @@
 SEGMENT_PREFIX = "records-"
 SEGMENT_MODE = 0o600  # bodies are their tenants' own
 MAX_SEGMENT_BYTES = 8 << 20
+NOT_KEPT = ""  # in place of an id: no segment has to be kept for such an event
 RETRY_US = 250_000  # after a failed write
 BOOT_ID_FILE = Path("/proc/sys/kernel/random/boot_id")
 
@@ -109,7 +110,8 @@
 
     def drop(self, id_: str) -> None:
         """Record that an invocation is forgotten, and remove the segments that are not needed any more."""
-        self._append(id_, record_events.encode_dropped(id_))
+        self._unwritten = [(NOT_KEPT if other == id_ else other, line) for other, line in self._unwritten]
+        self._append(NOT_KEPT, record_events.encode_dropped(id_))
         for segment in self._segments:
             segment.ids.discard(id_)
         self._remove_unused()
@@ -149,7 +151,8 @@
         while written < len(line):  # what a failed write has left is written over
             written += os.pwrite(self._descriptor, line[written:], self._size + written)
         self._size += len(line)
-        self._segments[-1].ids.add(id_)
+        if id_ != NOT_KEPT:
+            self._segments[-1].ids.add(id_)
 
     def _begin_segment(self) -> None:
         """Create the next segment. Raises OSError."""
--- a/tests/test_record_journal.py
+++ b/tests/test_record_journal.py
@@ -144,6 +144,25 @@
     assert len(segments(tmp_path)) <= 2 and not state(tmp_path)
 
 
+def test_events_of_a_dropped_invocation_that_are_written_late_keep_no_segment(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a folder that grows for good after the disk was full for a while."""
+    journal = Journal(tmp_path)
+    assert journal.accept(invocation("a", body=b"x" * MAX_SEGMENT_BYTES))
+    with monkeypatch.context() as patched:
+        patched.setattr(os, "pwrite", lambda *_: os.write(-1, b""))
+        assert not journal.accept(invocation("b", deferred=False))
+        for id_ in "ab":
+            journal.finish(id_, ANSWER)
+            journal.drop(id_)
+    journal.fire()
+    for id_ in "cd":
+        assert journal.accept(invocation(id_, body=b"x" * MAX_SEGMENT_BYTES))
+        journal.drop(id_)
+    assert len(segments(tmp_path)) <= 2 and not state(tmp_path)
+
+
 def test_damaged_and_foreign_lines_are_skipped_and_counted(tmp_path: Path) -> None:
     journal = Journal(tmp_path)
     states = play(journal)
