A process whose log can never be read is restarted at its end

Found on reading the change again: after a failure to read, the supervision went on reading and did not notice the end. The new test failed before.

--- a/maplestile/agent/supervised_process.py
+++ b/maplestile/agent/supervised_process.py
@@ -133,6 +133,8 @@
                 self.failures += 1
                 log.exception("%s: its log could not be read; trying again", self.settings.name)
                 await asyncio.sleep(READ_AGAIN_S)
+                if process.returncode is not None:
+                    return process.returncode
                 with contextlib.suppress(OSError):
                     log_offset = self.launcher.log_size()
 
--- a/tests/test_process_logs.py
+++ b/tests/test_process_logs.py
@@ -82,6 +82,17 @@
     assert process.failures == 1 and lines.count(b"the end\n") >= 1
 
 
+def test_process_whose_log_can_never_be_read_is_restarted_at_its_end() -> None:
+    """Guards against a supervision that goes on reading, and does not notice the end of the process."""
+    process = supervised("pass", None)
+
+    async def fail(*_: object) -> int:
+        raise OSError
+
+    process.launcher.follow = fail  # type: ignore[method-assign, assignment]
+    asyncio.run(until_started_again(process))
+
+
 @contextlib.contextmanager
 def full_pipe() -> Any:
     """Yield the two ends of a pipe that holds as much as it can."""
