--- a/maplestile/control/raft_log.py
+++ b/maplestile/control/raft_log.py
@@ -40,7 +40,7 @@
 from maplestile.control.log_storage import check_folder
 from maplestile.control.log_view import ReceivedHeartbeat, RouterStatus, VoterStatus
 from maplestile.control.settings import ControlSettings, Voter
-from maplestile.control.snapshot import LogEntry, Snapshot, SnapshotError
+from maplestile.control.snapshot import EarlierReleaseSnapshot, LogEntry, Snapshot, SnapshotError
 from maplestile.control.state import ControlState
 
 __all__ = ["LogError", "RaftLog"]
@@ -248,9 +248,12 @@
         """
         try:
             read = snapshot.read(Path(file_name))
-        except (SnapshotError, OSError) as error:
+        except (EarlierReleaseSnapshot, OSError) as error:
             self.failure = error
             raise
+        except SnapshotError as error:  # a transfer that broke off; the leader sends it again
+            log.warning("control: a snapshot that the leader sent cannot be used: %s", error)
+            raise
         self.replica.state = read.state
         return read.last_entry, read.previous_entry, ()
 
