Log applied endpoint lists, and what runners in their slow start got and may get

Each list that changes something is now an event with version, counts and names; the checks of the slow start are counted, and logged once a second for each cold runner. No decision changes.

--- a/maplestile/dispatch/slow_start.py
+++ b/maplestile/dispatch/slow_start.py
@@ -1,5 +1,8 @@
 """Limits the work that all dispatchers together send to a worker that has just started (slow start)."""
 
+from collections.abc import Callable
+from dataclasses import dataclass
+
 from maplestile.dispatch.api import Settings
 from maplestile.dispatch.context import Context
 from maplestile.dispatch.fleet import Fleet
@@ -12,6 +15,19 @@
 SLOW_START_SAFETY = 0.45
 
 
+@dataclass(slots=True, frozen=True)
+class BudgetCheck:
+    """One decision whether work may be sent to a worker in its slow start, for logs and counters."""
+
+    worker: str
+    now_us: int
+    age_us: int  # time since the start of the worker
+    is_admitted: bool
+    sent_us: float  # work sent there in the overload window
+    budget_us: float  # work that this dispatcher may send there in an overload window
+    running_weight: float  # of all workers that may get calls
+
+
 class SlowStart:
     """This dispatcher's share of the limit on the work that a worker may get during its slow start."""
 
@@ -19,6 +35,7 @@
         self.context = context
         self.fleet = fleet
         self.load_rate = load_rate
+        self.on_check: Callable[[BudgetCheck], None] = _ignore_check  # called with each decision
 
     def admits(self, worker: Worker, settings: Settings, work_us: float, min_calls: float) -> bool:
         """Return whether `work_us` more microseconds of work may be sent to the worker now.
@@ -41,4 +58,21 @@
         window = (context.now_us + context.salt) // max(1, settings.overload_window_us)
         random_fraction = unit_hash(context.salt ^ worker.salt, digest(str(window)))
         sent_us = worker.sends.total(context.now_us)
-        return sent_us + random_fraction * work_us < allowed_fraction * max(min_calls * work_us, usual_us)
+        budget_us = allowed_fraction * max(min_calls * work_us, usual_us)
+        is_admitted = sent_us + random_fraction * work_us < budget_us
+        self.on_check(
+            BudgetCheck(
+                worker.entry.worker,
+                context.now_us,
+                warming_us,
+                is_admitted,
+                sent_us,
+                allowed_fraction * usual_us,
+                self.fleet.total_weight,
+            )
+        )
+        return is_admitted
+
+
+def _ignore_check(_check: BudgetCheck) -> None:
+    """Ignore a decision."""
--- a/maplestile/router/components.py
+++ b/maplestile/router/components.py
@@ -17,6 +17,8 @@
 from maplestile.router.attempt_log import log_repeated
 from maplestile.router.clock import clock
 from maplestile.router.config import Config
+from maplestile.router.endpoint_log import EndpointLog
+from maplestile.router.slow_start_log import SlowStartLog
 
 if TYPE_CHECKING:  # imported at run time only if the configuration needs them, to save start time and memory
     from maplestile.invoke.api import InvokeApi
@@ -48,6 +50,7 @@
         self.endpoints = config.endpoints
         self.selector = selector
         self.counters: Counter[str] = Counter()
+        self.endpoint_log = EndpointLog()
         self.runners = self._build_runner_pool()
         self.core = self._build_core()
         self.runners.core = self.core
@@ -89,7 +92,9 @@
         self.runners.update(self.endpoints)
         if self.peers is not None:
             self.peers.set_runners(self.endpoints.entries)
-        self.core.list_changed(self.endpoints.event(kind))
+        event = self.endpoints.event(kind)
+        self.endpoint_log.record(event.version, event.entries, clock(), self.core.settings)
+        self.core.list_changed(event)
         self.save_endpoints()
 
     def confirm_endpoints(self) -> None:
@@ -157,6 +162,7 @@
             self.counters,
         )
         core.attempts.on_repeated = log_repeated
+        core.dispatcher.slow_start.on_check = SlowStartLog(self.counters).record
         return core
 
     def _apply_limits(self) -> None:
