--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -40,8 +40,8 @@
         reader, self._writer = await asyncio.open_connection("127.0.0.1", port)
         self._task = asyncio.get_running_loop().create_task(self._read(reader))
 
-    def send(self) -> None:
-        """Send one request of a random class."""
+    def send(self) -> SentRequest:
+        """Send one request of a random class, and return its record."""
         self._last_id += 1
         source = self.random
         tag = source.randbytes(8).hex()
@@ -60,6 +60,7 @@
         request = SentRequest(tag, class_name, self.router, body, time.monotonic(), limit_s)
         self.open[self._last_id] = self.record.requests[tag] = request
         self._write(class_name, params, self._last_id)
+        return request
 
     def interrupt_one(self) -> None:
         """Give up an open request, if there is one."""
--- a/tests/standins/name_server.py
+++ b/tests/standins/name_server.py
@@ -7,6 +7,7 @@
 
 from tests.standins.worker import Worker
 
+USUAL_WEIGHT = 40  # of an SRV record: ten times the weight of the worker
 MANY_QUERIES = 1000  # more than a router sends during a test
 
 A, SOA, TXT, SRV = 1, 6, 16, 33  # DNS record types
@@ -39,6 +40,7 @@
         self.port: int = self.socket.getsockname()[1]
         self.serial, self.workers = 1, list[tuple[str, int, int]]()  # uid, port, priority
         self.started: dict[str, int] = {}  # Unix milliseconds of each worker's start, by uid; 0 if missing
+        self.weights: dict[str, int] = {}  # in the SRV records, by uid; `USUAL_WEIGHT` if missing
         self.faults: list[str] = []
         self.queries = 0
         threading.Thread(target=self._run, daemon=True).start()
@@ -69,7 +71,8 @@
         answers = additional = b""
         for uid, port, priority in workers:
             host_name = name_bytes(f"{uid}.east.hosts")
-            answers += record(SAME_NAME, SRV, struct.pack("!3H", priority, 40, port) + host_name)
+            weight = self.weights.get(uid, USUAL_WEIGHT)
+            answers += record(SAME_NAME, SRV, struct.pack("!3H", priority, weight, port) + host_name)
             txt_strings = b"kind=std", b"cell=2", b"started=%d" % self.started.get(uid, 0)
             additional += record(host_name, A, bytes([127, 0, 0, 1]))
             additional += record(host_name, TXT, b"".join(bytes([len(text)]) + text for text in txt_strings))
--- /dev/null
+++ b/tests/test_process_release.py
@@ -0,0 +1,16 @@
+"""Tests of the budgets of cold runners at real routers, while a release replaces the runners of a fleet."""
+
+import pytest
+
+from tests.release.scenarios import RELEASE, WHOLE_FLEET, Scenario
+from tests.release.trial import play
+
+SEED = 1
+
+
+# Guards against cold runners that get the demand of the whole fleet, once the warm ones have been drained.
+@pytest.mark.parametrize("scenario", [RELEASE, WHOLE_FLEET], ids=str)
+def test_cold_runner_gets_no_more_than_its_budget(scenario: Scenario) -> None:
+    record = play(scenario, SEED)
+    assert record.fullest.fullness <= 1, str(record.fullest)
+    assert any(window.calls for window in record.windows), "no cold runner got anything"
