The budget of a cold runner is a share of what warm runners have served, not of the demand

Seen by callers: a runner that has just come back falls under load and takes its calls with it, when a release has drained the others. Cause: SlowStart.admits allowed a fraction of the demand, divided by the weight of the runners that run now. With 3 of 14 left, each cold one was allowed 14/3 of its budget; with a demand above the capacity, as many times as much. SendGate._min_calls divided the same way. Also, sends were counted in microseconds of estimates that fall faster than their mean, so one budget lasted for more calls after an overload. Evidence: the new budget lines in the reproduction, right starts and ages, and sends within a budget that was too high. Change: the new ServedRate gives the calls that running, warm workers have served per unit of weight, which no demand can raise above their capacity; a worker's share of the demand is limited by it. A router that has served nothing assumes that all listed workers share its calls, also those that drain. Budgets are in calls of mean work, one at least for each call. Five of the new tests of decisions fail on the code before.

--- a/maplestile/dispatch/call_router.py
+++ b/maplestile/dispatch/call_router.py
@@ -8,6 +8,7 @@
 from maplestile.dispatch.estimates import expected_service_us
 from maplestile.dispatch.placement import Placement
 from maplestile.dispatch.retry import RetryPolicy
+from maplestile.dispatch.slow_start import SlowStart
 from maplestile.dispatch.state import Attempt, Call, CallTable, FunctionEntry, Worker
 from maplestile.dispatch.worker_health import WorkerHealth
 
@@ -38,6 +39,7 @@
         retry: RetryPolicy,
         health: WorkerHealth,
         admission: AdmissionController,
+        slow_start: SlowStart,
     ) -> None:
         self.context = context
         self.table = table
@@ -46,6 +48,7 @@
         self.retry = retry
         self.health = health
         self.admission = admission
+        self.slow_start = slow_start
 
     # Placing and holding calls.
 
@@ -101,7 +104,7 @@
         entry.copy(worker).busy += 1
         entry.busy += 1
         worker.busy += 1
-        worker.sends.add(now_us, entry.service_us)
+        self.slow_start.record_send(worker, entry)
         timeout_us = call.due_us - now_us
         name = worker.entry.worker
         context.actions.append(
--- a/maplestile/dispatch/dispatcher.py
+++ b/maplestile/dispatch/dispatcher.py
@@ -26,6 +26,7 @@
 from maplestile.dispatch.placement import Placement
 from maplestile.dispatch.retry import RetryPolicy
 from maplestile.dispatch.send_gate import SendGate
+from maplestile.dispatch.served_rate import ServedRate
 from maplestile.dispatch.slow_start import SlowStart
 from maplestile.dispatch.state import Attempt, Call, CallTable, Worker
 from maplestile.dispatch.tiers import FunctionTiers
@@ -91,6 +92,7 @@
         self.table = CallTable()
         self.fleet = Fleet(context)
         self.load_rate = LoadRate(context)
+        self.served_rate = ServedRate(context, fleet=self.fleet, load_rate=self.load_rate)
         self.loads = LoadsInProgress(context)
         self.estimates = ServiceTimeEstimates()
         self.tiers = FunctionTiers(context, fleet=self.fleet, load_rate=self.load_rate, loads=self.loads)
@@ -105,7 +107,9 @@
         self.outliers = OutlierDetector(context)
         self.zones = ZoneFailureDetector(context, fleet=self.fleet)
         self.health = WorkerHealth(outliers=self.outliers, zones=self.zones)
-        self.slow_start = SlowStart(context, fleet=self.fleet, load_rate=self.load_rate)
+        self.slow_start = SlowStart(
+            context, fleet=self.fleet, load_rate=self.load_rate, served_rate=self.served_rate
+        )
         self.retry = RetryPolicy(context, fleet=self.fleet)
         self.gate = SendGate(
             context,
@@ -155,6 +159,7 @@
             retry=self.retry,
             health=self.health,
             admission=self.admission,
+            slow_start=self.slow_start,
         )
         self.intake = CallIntake(
             context,
@@ -175,6 +180,7 @@
             health=self.health,
             admission=self.admission,
             router=self.router,
+            served_rate=self.served_rate,
         )
 
     def _on_worker_list(self, event: api.WorkerListReceived) -> None:
@@ -188,6 +194,7 @@
             self.zones.record_answer(worker.entry.zone)  # a worker that starts shows that its zone is alive
         self.loads.forget_unlisted_workers(self.fleet.workers)
         self.fleet.update_ranking()
+        self.served_rate.update_weight()
 
     def _on_health_check_ended(self, event: api.HealthCheckEnded) -> None:
         worker = self.workers.get(event.worker)
@@ -209,6 +216,7 @@
     def _sweep(self) -> None:
         """Do the periodic work, and set the timer for the next run."""
         self.context.set_timer(self.context.keep_alive_us / SWEEPS_PER_KEEP_ALIVE, self._sweep)
+        self.served_rate.update_weight()
         self.outliers.update_fleet_latency(self.fleet.workers.values())
         self.zones.probe_lost_zones()
         self.keep_warm.move_homes_off_draining_workers()
--- a/maplestile/dispatch/fleet.py
+++ b/maplestile/dispatch/fleet.py
@@ -15,7 +15,10 @@
         self.workers: dict[str, Worker] = {}  # by name
         self.draining: set[str] = set()  # names of the listed workers that are not running
         self.lost_zones: set[str] = set()
-        self.total_weight = 0.0  # of the running workers; 1 after an update that finds none
+        self.total_weight = 1.0  # of the running workers; 1 if there are none
+        self.listed_weight = 1.0  # of all listed workers, also those that drain; 1 if there are none
+        self.cold_workers: list[Worker] = []  # running ones that were in their slow start at the last update
+        self._has_running_workers = False
         self.ranking_updated_us = 0  # when the set of workers that may be ranked was last updated
         self.index: RankingIndex[Worker] = RankingIndex()
 
@@ -45,6 +48,9 @@
         running = [w for w in self.workers.values() if w.entry.state is WorkerState.RUNNING]
         self.draining = {n for n, w in self.workers.items() if w.entry.state is not WorkerState.RUNNING}
         self.total_weight = sum([w.entry.weight for w in running]) or 1.0
+        self.listed_weight = sum([w.entry.weight for w in self.workers.values()]) or 1.0
+        self.cold_workers = [w for w in running if w.entry.started_us and self.is_in_slow_start(w)]
+        self._has_running_workers = bool(running)
         self.ranking_updated_us = self.context.now_us
         self.index.update([w for w in running if w.entry.zone not in self.lost_zones] or running)
 
@@ -64,6 +70,18 @@
                 entry.copy(replica).replica_since_us = self.ranking_updated_us
         return entry.ranking
 
+    def warm_weight(self) -> float:
+        """Return the weight of the running workers that are past their slow start."""
+        if not self._has_running_workers:
+            return 0.0
+        self.cold_workers = [worker for worker in self.cold_workers if self.is_in_slow_start(worker)]
+        return max(0.0, self.total_weight - sum([w.entry.weight for w in self.cold_workers]))
+
+    def is_in_slow_start(self, worker: Worker) -> bool:
+        """Return whether the worker has started so recently that it does not have its full capacity."""
+        context = self.context
+        return worker.slow_start_progress(context.now_us, context.settings.slow_start_us) < 1
+
     def is_running(self, worker: Worker) -> bool:
         """Return whether the worker may get new work.
 
--- a/maplestile/dispatch/load_rate.py
+++ b/maplestile/dispatch/load_rate.py
@@ -10,11 +10,12 @@
 
 
 class LoadRate:
-    """The service time of this dispatcher's calls, per function and in total."""
+    """The service time and the number of this dispatcher's calls: the demand, whether served or not."""
 
     def __init__(self, context: Context) -> None:
         self.context = context
         self.decayed_work = 0.0  # microseconds of service time
+        self.decayed_calls = 0.0
         self.updated_us = 0
         self.first_call_us = 0
 
@@ -27,12 +28,28 @@
         entry.decayed_work = entry.decayed_work * remaining + entry.service_us
         remaining = context.decay_factor(self.updated_us, HALF_LIFE_KEEP_ALIVES)
         self.decayed_work = self.decayed_work * remaining + entry.service_us
+        self.decayed_calls = self.decayed_calls * remaining + 1
         entry.last_call_us = now_us
         self.updated_us = now_us
 
     def rate(self) -> float:
         """Return the microseconds of work that arrive per microsecond."""
+        return self.decayed_work / self._averaging_time_us()
+
+    def call_rate(self) -> float:
+        """Return the calls that arrive per microsecond."""
+        return self.decayed_calls / self._averaging_time_us()
+
+    def in_mean_calls(self, work_us: float) -> float:
+        """Return work as a number of calls of mean work; at least 1, however little work it is.
+
+        Estimates of service times rise and fall with the load, and the mean follows late. The minimum keeps
+        a limit in calls from growing when the estimates fall.
+        """
+        if not self.decayed_work:
+            return 1.0
+        return max(1.0, work_us * self.decayed_calls / self.decayed_work)
+
+    def _averaging_time_us(self) -> float:
         age_us = self.context.now_us - self.first_call_us + STARTUP_US
-        return self.decayed_work / min(
-            age_us, HALF_LIFE_KEEP_ALIVES * self.context.keep_alive_us / math.log(2)
-        )
+        return min(age_us, HALF_LIFE_KEEP_ALIVES * self.context.keep_alive_us / math.log(2))
--- a/maplestile/dispatch/load_requests.py
+++ b/maplestile/dispatch/load_requests.py
@@ -81,5 +81,5 @@
 
     def _request(self, entry: FunctionEntry, worker: Worker) -> None:
         self.requests.add(self.context.now_us)
-        worker.sends.add(self.context.now_us, entry.service_us)
+        self.slow_start.record_send(worker, entry)
         self.context.actions.append(api.RequestLoad(worker.entry.worker, entry.function, 1))
--- a/maplestile/dispatch/outcomes.py
+++ b/maplestile/dispatch/outcomes.py
@@ -7,6 +7,7 @@
 from maplestile.dispatch.copy_records import CopyRecords
 from maplestile.dispatch.estimates import ServiceTimeEstimates, expected_service_us, update_load_time
 from maplestile.dispatch.fleet import Fleet
+from maplestile.dispatch.served_rate import ServedRate
 from maplestile.dispatch.state import Attempt, Call, CallTable
 from maplestile.dispatch.tiers import FunctionTiers
 from maplestile.dispatch.worker_health import WorkerHealth
@@ -30,6 +31,7 @@
         health: WorkerHealth,
         admission: AdmissionController,
         router: CallRouter,
+        served_rate: ServedRate,
     ) -> None:
         self.fleet = fleet
         self.table = table
@@ -39,6 +41,7 @@
         self.health = health
         self.admission = admission
         self.router = router
+        self.served_rate = served_rate
 
     def on_attempt_ended(self, event: api.AttemptEnded) -> None:
         """Handle the end of an attempt; ignore one that is late, repeated or from before a restart."""
@@ -79,6 +82,7 @@
         was_warm = event.warmth is Warmth.WARM if is_reported else not attempt.needs_load
         was_slow = was_warm and event.elapsed_us > SLOW_ANSWER_SERVICE_TIMES * expected_service_us(call)
         self.admission.record_answer(call, self.admission.is_late(call))
+        self.served_rate.record_answer(worker)
         if was_warm:
             self.estimates.update_service_time(call, worker, event.elapsed_us)
         elif is_reported or entry.copy(worker).load_started_us:
--- a/maplestile/dispatch/send_gate.py
+++ b/maplestile/dispatch/send_gate.py
@@ -71,9 +71,9 @@
         The slow-start limit is a fraction of the usual traffic. The result, which is 1 at most, lets
         dispatchers that usually send less send some calls too. If each dispatcher sent one call of the same
         function there, the sum would grow with the number of dispatchers. So the result is scaled down where
-        the function's work per replica exceeds the worker's share of all work.
+        the function's work per replica exceeds the share of all work that the worker could carry.
         """
         scaled_work = entry.replica_count * (
             self.load_rate.decayed_work + OTHER_WORK_CALLS * entry.service_us
         )
-        return min(1.0, scaled_work / entry.decayed_work * worker.entry.weight / self.fleet.total_weight)
+        return min(1.0, scaled_work / entry.decayed_work * self.slow_start.carried_share(worker))
--- a/maplestile/dispatch/state.py
+++ b/maplestile/dispatch/state.py
@@ -65,7 +65,7 @@
     """
 
     entry: WorkerEntry  # its current entry in the worker list
-    sends: Window  # estimated service time of what was sent there, in microseconds
+    sends: Window  # what was sent there, in calls of mean work
     salt: int  # hash of the worker's name, for the rankings
     busy: int = 0  # this dispatcher's attempts in flight
     last_reset_us: int = 0  # when a broken connection was last counted against the worker
@@ -78,6 +78,12 @@
     backoff_until_us: dict[str, int] = field(default_factory=dict)
     backoff_doublings: dict[str, int] = field(default_factory=dict)  # since the last successful answer
 
+    def slow_start_progress(self, now_us: int, slow_start_us: int) -> float:
+        """Return the fraction of the slow start that has passed; 1 or more after it."""
+        if not self.entry.started_us:
+            return 1.0
+        return max(0, now_us - self.entry.started_us) / max(1, slow_start_us)
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
--- a/maplestile/router/slow_start_log.py
+++ b/maplestile/router/slow_start_log.py
@@ -35,8 +35,8 @@
             "slow start budget",
             worker=check.worker,
             age_ms=check.age_us // US_PER_MS,
-            sent_work_ms=int(check.sent_us) // US_PER_MS,
-            budget_ms=int(check.budget_us) // US_PER_MS,
-            running_weight=check.running_weight,
+            sent_calls=round(check.sent_calls, 1),
+            budget_calls=round(check.budget_calls, 1),
+            carried_share=round(check.carried_share, 4),
             refused_since_last=self._refused.pop(check.worker, 0),
         )
--- a/tests/release/scenarios.py
+++ b/tests/release/scenarios.py
@@ -1,6 +1,6 @@
 """The scenarios of release trials: what happens to the fleet, and when."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from tests.release.workers import Capacity
 
@@ -87,3 +87,29 @@
         (11.2, Ready(STEPS[1])),
     ),
 )
+# Routers that start in the middle of the release have seen no runner carry anything.
+RELEASE_WITH_NEW_ROUTERS = replace(
+    RELEASE,
+    name="release-and-restart-of-routers",
+    changes=(*RELEASE.changes, (7.0, RestartRouter(0)), (8.0, RestartRouter(1)), (8.6, RestartRouter(2))),
+)
+# A demand that the runners cannot carry, though none has left.
+SURGE = Scenario(
+    name="demand-above-the-capacity",
+    demand=3.0,
+    end_s=10.0,
+    capacities=MIXED_FLEET[:5],
+    changes=((4.0, Drain((0,))), (4.5, Restart((0,))), (5.0, Ready((0,)))),
+)
+# Most runners have been away for so long that the demand of the whole fleet counts as usual.
+LONG_OUTAGE = Scenario(
+    name="runner-restarted-in-a-long-outage",
+    demand=DEMAND,
+    end_s=17.0,
+    changes=(
+        (1.0, Drain(tuple(range(3, 14)))),
+        (10.0, Drain((0,))),
+        (11.0, Restart((0,))),
+        (12.0, Ready((0,))),
+    ),
+)
--- a/tests/release/trial.py
+++ b/tests/release/trial.py
@@ -60,10 +60,10 @@
         for worker in self.workers:
             await worker.start()
         self._publish()
-        for router in range(scenario.routers):
+        for _ in range(scenario.routers):
             self.routers.append(await self._start_router())
-            self.connections.append([])
-            await self._connect(router)
+        # Only once all have started, since a connection that sends nothing for 1.5 s is closed.
+        self.connections = [await self._connect(program) for program in self.routers]
         started_s = time.monotonic()
         self.until_s = started_s + scenario.end_s
         calls = asyncio.get_running_loop().create_task(self._call_all_the_time())
@@ -92,14 +92,14 @@
         await asyncio.to_thread(program.port, "platform")
         return program
 
-    async def _connect(self, router: int) -> None:
-        port = self.routers[router].port("platform")
+    async def _connect(self, program: Program) -> list[SoakConnection]:
+        port = program.port("platform")
         connections = [
-            SoakConnection(f"r{router}", self.record.requests, self.random) for _ in range(CONNECTIONS)
+            SoakConnection(str(port), self.record.requests, self.random) for _ in range(CONNECTIONS)
         ]
         for connection in connections:
             await connection.connect(port)
-        self.connections[router] = connections
+        return connections
 
     async def _call_all_the_time(self) -> None:
         """Send calls at random times until the end."""
@@ -141,7 +141,7 @@
         replaced, old = self.routers[router], self.connections[router]
         replaced.process.terminate()
         self.routers[router] = await self._start_router()
-        await self._connect(router)
+        self.connections[router] = await self._connect(self.routers[router])
         for connection in old:
             connection.close()
         self.record.logs.append(list(replaced.log))
--- a/tests/test_decide_slow_start.py
+++ b/tests/test_decide_slow_start.py
@@ -1,7 +1,18 @@
 """Tests of slow start: the work that a worker gets from all dispatchers together right after its start."""
 
 from maplestile.dispatch import api
-from tests.helpers import MS, SERVICE_US, Driver, arrival, ended, entry, sends, settings, worker_list
+from tests.helpers import (
+    MS,
+    SERVICE_US,
+    START_US,
+    Driver,
+    arrival,
+    ended,
+    entry,
+    sends,
+    settings,
+    worker_list,
+)
 
 CORES = 2.0  # cores of a worker
 
@@ -85,3 +96,82 @@
     ):
         driver = Driver(dispatcher_settings, [entry("w0"), entry("w1", started_us=999_999 * MS)])
         assert sends([action for call in range(8) for action in driver.give(arrival(call, f"f{call}"))])
+
+
+def serve_calls(driver: Driver, calls_per_s: int, seconds: int, elapsed_us: int = SERVICE_US) -> None:
+    """Simulate calls at a steady rate, each of which is answered as soon as it is sent."""
+    for number in range(calls_per_s * seconds):
+        actions = driver.run(1_000 * MS // calls_per_s)
+        call = 1_000_000 + len(driver.log) + number
+        for send in sends(actions + driver.give(arrival(call, f"f{number % 12}"))):
+            driver.give(ended(send.call, 0, send.worker, api.Result.OK, elapsed_us))
+
+
+def usual_calls(driver: Driver, worker: str) -> float:
+    """Return the calls per second that the worker would get if it were warm."""
+    dispatcher = driver.dispatcher
+    share = dispatcher.slow_start.carried_share(dispatcher.workers[worker])
+    return share * dispatcher.load_rate.call_rate() * 1_000 * MS
+
+
+# Guards against a cold worker that gets the demand of the whole fleet, once the others have been drained.
+def test_usual_calls_of_a_worker_do_not_grow_as_others_drain() -> None:
+    names = [f"w{number}" for number in range(6)]
+    driver = Driver(settings(), [entry(name) for name in names])
+    serve_calls(driver, calls_per_s=30, seconds=20)
+    assert usual_calls(driver, "w0") <= 5
+    draining = [entry(name, api.WorkerState.DRAINING) for name in names[1:]]
+    cold = entry("w0", started_us=driver.now_us)
+    driver.give(worker_list(cold, *draining, kind=api.ListKind.DELTA))
+    assert usual_calls(driver, "w0") <= 5
+    driver.run(1_000 * MS)
+    assert usual_calls(driver, "w0") <= 5
+
+
+# Guards against a budget that follows a demand which the fleet cannot carry, as of clients that retry.
+def test_usual_calls_of_a_worker_do_not_grow_with_calls_that_nobody_serves() -> None:
+    driver = Driver(settings(), [entry("w0"), entry("w1")])
+    serve_calls(driver, calls_per_s=20, seconds=10)
+    for call in range(400):
+        driver.run(10 * MS)
+        for send in sends(driver.give(arrival(call, "f0"))):
+            driver.give(ended(call, 0, send.worker, api.Result.FULL, MS))
+    assert usual_calls(driver, "w0") <= 10
+
+
+# Guards against a budget in microseconds that lasts for more calls once the estimates of their work fall.
+def test_a_call_counts_as_one_at_least_after_the_estimates_have_fallen() -> None:
+    driver = Driver(settings(), [entry("w0")])
+    serve_calls(driver, calls_per_s=10, seconds=10, elapsed_us=2_000 * MS)
+    serve_calls(driver, calls_per_s=10, seconds=4, elapsed_us=SERVICE_US)
+    function = driver.dispatcher.tiers.functions["f0"]
+    assert driver.dispatcher.load_rate.in_mean_calls(function.service_us) == 1
+    assert driver.dispatcher.load_rate.in_mean_calls(100 * function.service_us) > 1
+
+
+# Guards against a router that starts in a release and takes the few runners that run for the whole fleet.
+def test_dispatcher_that_has_just_started_shares_its_calls_among_all_listed_workers() -> None:
+    draining = [entry(f"w{number}", api.WorkerState.DRAINING) for number in range(9)]
+    driver = Driver(settings(), [entry("cold", started_us=START_US), *draining])
+    driver.give(arrival(1))
+    share = driver.dispatcher.slow_start.carried_share(driver.dispatcher.workers["cold"])
+    assert share <= 0.1
+
+
+def test_fleet_without_a_warm_worker_gets_calls() -> None:
+    driver = Driver(settings(), [entry(f"w{number}", started_us=START_US) for number in range(3)])
+    serve_calls(driver, calls_per_s=30, seconds=20)
+    sent = [at_us - START_US for at_us, action in driver.log if isinstance(action, api.SendAttempt)]
+    assert len([at_us for at_us in sent if at_us < 5_000 * MS]) > 10
+    assert len([at_us for at_us in sent if at_us > 15_000 * MS]) > 100
+
+
+def test_served_calls_of_cold_and_draining_workers_are_not_counted() -> None:
+    driver = Driver(settings(), [entry("cold", started_us=START_US), entry("draining")])
+    served = driver.dispatcher.served_rate
+    driver.give(arrival(1))
+    for name in ("cold", "draining"):
+        draining = entry("draining", api.WorkerState.DRAINING)
+        driver.give(worker_list(draining, kind=api.ListKind.DELTA))
+        served.record_answer(driver.dispatcher.workers[name])
+    assert served.decayed_calls == 0
--- a/tests/test_decision_logs.py
+++ b/tests/test_decision_logs.py
@@ -83,7 +83,7 @@
     checks = list[BudgetCheck]()
     driver.dispatcher.slow_start.on_check = checks.append
     driver.give(arrival(1, "f"))
-    assert checks and {(check.worker, check.running_weight) for check in checks} == {("cold", 1.0)}
+    assert checks and {(check.worker, check.carried_share) for check in checks} == {("cold", 1.0)}
     driver.give(worker_list(entry("warm")))
     checks.clear()
     driver.give(arrival(2, "g"))
--- a/tests/test_process_release.py
+++ b/tests/test_process_release.py
@@ -2,14 +2,24 @@
 
 import pytest
 
-from tests.release.scenarios import RELEASE, WHOLE_FLEET, Scenario
+from tests.release.scenarios import (
+    LONG_OUTAGE,
+    RELEASE,
+    RELEASE_WITH_NEW_ROUTERS,
+    SURGE,
+    WHOLE_FLEET,
+    Scenario,
+)
 from tests.release.trial import play
 
 SEED = 1
 
 
+SCENARIOS = (RELEASE, WHOLE_FLEET, RELEASE_WITH_NEW_ROUTERS, SURGE, LONG_OUTAGE)
+
+
 # Guards against cold runners that get the demand of the whole fleet, once the warm ones have been drained.
-@pytest.mark.parametrize("scenario", [RELEASE, WHOLE_FLEET], ids=str)
+@pytest.mark.parametrize("scenario", SCENARIOS, ids=str)
 def test_cold_runner_gets_no_more_than_its_budget(scenario: Scenario) -> None:
     record = play(scenario, SEED)
     assert record.fullest.fullness <= 1, str(record.fullest)
