A connection ends once its handler has failed, on every supported version of Python

The agent's command port closed in a finally of its own; the relay's control port, its links and the explorer's workers did not. The failing test now uses the product's server instead of asyncio's own, with the same checks.

--- a/maplestile/agent/command_server.py
+++ b/maplestile/agent/command_server.py
@@ -28,6 +28,7 @@
 from maplestile.agent.errors import CommandError
 from maplestile.agent.instance import Instance
 from maplestile.agent.router_client import RESUME_PATH, SUSPEND_PATH
+from maplestile.common.stream_server import start_stream_server
 from maplestile.control.log_view import LogAnswer
 from maplestile.operation.api import MEMBERS_PATH, METRICS_PATH, READY_PATH
 
@@ -132,10 +133,10 @@
 
     async def listen(self, host: str, port: int) -> asyncio.Server:
         """Start to listen, and return the server. Raises OSError."""
-        return await asyncio.start_server(self.serve, host, port, limit=MAX_LINE_BYTES)
+        return await start_stream_server(self.serve, host, port, MAX_LINE_BYTES)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Answer the one command of a connection, and close the connection."""
+        """Answer the one command of a connection, which is closed then."""
         try:
             async with asyncio.timeout(COMMAND_TIMEOUT_S):
                 result = await self._execute(await reader.readline())
@@ -144,8 +145,6 @@
         except (OSError, ValueError, TimeoutError) as error:
             self.counters["commands.unanswered"] += 1
             log.warning("agent: a command could not be answered; closing its connection: %s", error)
-        finally:
-            writer.close()
 
     async def _execute(self, line: bytes) -> CommandResult:
         try:
--- a/maplestile/tools/explore/scripted_workers.py
+++ b/maplestile/tools/explore/scripted_workers.py
@@ -7,6 +7,7 @@
 import time
 from dataclasses import dataclass, field
 
+from maplestile.common.stream_server import start_stream_server
 from maplestile.tools.explore.worker_lines import Command, CommandKind, decode, encode_answer
 
 HOST = "127.0.0.1"
@@ -64,7 +65,7 @@
     async def set_listening(self, should_listen: bool) -> None:
         """Start accepting connections if `should_listen`, else stop."""
         if should_listen and self.server is None:
-            self.server = await asyncio.start_server(self._serve, HOST, self.port)
+            self.server = await start_stream_server(self._serve, HOST, self.port)
         elif not should_listen and self.server is not None:
             self.server.close()
             self.server = None
--- a/maplestile/tools/faults/control_port.py
+++ b/maplestile/tools/faults/control_port.py
@@ -18,6 +18,7 @@
 from typing import Any
 
 from maplestile.common.address import Address
+from maplestile.common.stream_server import start_stream_server
 from maplestile.tools.faults import relay_commands
 from maplestile.tools.faults.relay import Relay
 from maplestile.tools.faults.relay_commands import (
@@ -77,14 +78,13 @@
             while line := await reader.readline():
                 writer.write(json.dumps(await self.execute(line)).encode() + b"\n")
                 await writer.drain()
-        writer.close()
 
 
 async def serve(schedule: Schedule, control: Address) -> None:
     """Open a relay, print its addresses as one JSON line on standard error, and serve until cancelled."""
     relay = Relay(schedule)
     fronts = await relay.open_fronts()
-    server = await asyncio.start_server(ControlPort(relay).serve, *control, limit=MAX_LINE_BYTES)
+    server = await start_stream_server(ControlPort(relay).serve, *control, MAX_LINE_BYTES)
     host, port = server.sockets[0].getsockname()[:2]
     addresses = {"control": f"{host}:{port}", "fronts": [f"{host}:{port}" for host, port in fronts]}
     print(json.dumps({"relay": addresses}), file=sys.stderr, flush=True)
--- a/maplestile/tools/faults/relay.py
+++ b/maplestile/tools/faults/relay.py
@@ -25,6 +25,7 @@
 from typing import Any, cast
 
 from maplestile.common.address import Address
+from maplestile.common.stream_server import start_stream_server
 from maplestile.tools.faults.schedule import US_PER_S, Schedule
 
 HOST = "127.0.0.1"  # the only host that traffic is accepted from and sent to
@@ -162,7 +163,7 @@
     async def open_link(self, origin: int, target: int, address: Address) -> Address:
         """Open a front for connections from `origin` to the listener of `target`, and return its address."""
         serve = functools.partial(self._serve, Direction(origin, target), address)
-        server = await asyncio.start_server(serve, HOST, 0)
+        server = await start_stream_server(serve, HOST, 0)
         self._servers.append(server)
         host, port = server.sockets[0].getsockname()[:2]
         return host, port
--- a/tests/test_loop_errors.py
+++ b/tests/test_loop_errors.py
@@ -7,6 +7,7 @@
 import pytest
 
 from maplestile.common.loop_errors import LoopErrorReporter
+from maplestile.common.stream_server import start_stream_server
 from tests.standins import PATIENCE_S
 
 
@@ -32,7 +33,7 @@
 
     async def scenario() -> list[bytes]:
         LoopErrorReporter(counters).install()
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        server = await start_stream_server(serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         async with asyncio.timeout(PATIENCE_S), server:
             return [await answer_to(port, request) for request in (b"x", b"1", b"x", b"2")]
@@ -55,7 +56,7 @@
             accepted.set()
             await reader.read()
 
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        server = await start_stream_server(serve, "127.0.0.1", 0)
         _, writer = await asyncio.open_connection(*server.sockets[0].getsockname()[:2])
         async with asyncio.timeout(PATIENCE_S):
             await accepted.wait()
