What a process of a runner has got counts against its budget, also from before its record

Cause: the record of what was sent within the overload window began empty when the start of a runner was announced, or when a list had left the runner out for a moment, though the process had got calls already: the budget of that window could be spent twice. Change: the fleet keeps the record by name until it is empty. Both new tests of decisions fail on the code before.

--- a/maplestile/dispatch/fleet.py
+++ b/maplestile/dispatch/fleet.py
@@ -3,7 +3,7 @@
 from maplestile.dispatch.api import Settings, WorkerListReceived, WorkerState
 from maplestile.dispatch.context import Context
 from maplestile.dispatch.ranking import RankingIndex
-from maplestile.dispatch.state import FunctionEntry, Worker
+from maplestile.dispatch.state import FunctionEntry, Window, Worker
 from maplestile.dispatch.worker_list import apply_worker_list
 
 
@@ -13,6 +13,9 @@
     def __init__(self, context: Context) -> None:
         self.context = context
         self.workers: dict[str, Worker] = {}  # by name
+        # What was sent lately, by name of the worker. It outlives the worker's record: a process may have got
+        # calls before its start was announced, or before a list left it out for a moment.
+        self._sends: dict[str, Window] = {}
         self.draining: set[str] = set()  # names of the listed workers that are not running
         self.lost_zones: set[str] = set()
         self.total_weight = 1.0  # of the running workers; 1 if there are none
@@ -24,16 +27,26 @@
 
     def apply_settings(self, settings: Settings) -> None:
         """Use the overload window of a new policy for each worker's record of sent work."""
-        for worker in self.workers.values():
-            worker.sends.span_us = settings.overload_window_us
+        for sends in self._sends.values():
+            sends.span_us = settings.overload_window_us
 
     def apply_list(self, event: WorkerListReceived) -> list[Worker]:
         """Apply a worker list or its changes; return the workers that have started."""
-        self.workers, started = apply_worker_list(
-            self.workers, event, self.context.settings.overload_window_us
-        )
+        self.workers, started = apply_worker_list(self.workers, event, self._recent_sends)
+        self._forget_old_sends()
         return started
 
+    def _recent_sends(self, name: str) -> Window:
+        return self._sends.setdefault(name, Window(self.context.settings.overload_window_us))
+
+    def _forget_old_sends(self) -> None:
+        """Drop the records of unlisted workers that were sent nothing within the overload window."""
+        now_us = self.context.now_us
+        unlisted = [name for name in self._sends if name not in self.workers]
+        for name in unlisted:
+            if not self._sends[name].total(now_us):
+                del self._sends[name]
+
     def set_lost_zones(self, names: set[str]) -> None:
         """Set the lost zones; their workers are not ranked as long as there are others."""
         self.lost_zones = names
--- a/maplestile/dispatch/worker_list.py
+++ b/maplestile/dispatch/worker_list.py
@@ -1,6 +1,6 @@
 """Applies a received worker list, or its changes, to the records of the workers."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from maplestile.dispatch.api import ListKind, WorkerEntry, WorkerListReceived, WorkerState
 from maplestile.dispatch.hashing import digest
@@ -8,11 +8,11 @@
 
 
 def apply_worker_list(
-    workers: Mapping[str, Worker], event: WorkerListReceived, overload_window_us: int
+    workers: Mapping[str, Worker], event: WorkerListReceived, recent_sends: Callable[[str], Window]
 ) -> tuple[dict[str, Worker], list[Worker]]:
     """Return the updated workers by name, and those of them that have started.
 
-    Other workers keep their records. New records count the work sent in the last `overload_window_us`.
+    Other workers keep their records. `recent_sends` returns what was sent lately to a worker of that name.
     """
     updated = _still_listed(workers, event)
     started = list[Worker]()
@@ -21,7 +21,7 @@
         if entry.state is WorkerState.GONE:
             continue
         if worker is None or _has_restarted(worker, entry):
-            worker = Worker(entry, Window(overload_window_us), digest(entry.worker))
+            worker = Worker(entry, recent_sends(entry.worker), digest(entry.worker))
             started.append(worker)
         worker.entry = entry
         updated[entry.worker] = worker
--- a/tests/test_decide_slow_start.py
+++ b/tests/test_decide_slow_start.py
@@ -175,3 +175,32 @@
         driver.give(worker_list(draining, kind=api.ListKind.DELTA))
         served.record_answer(driver.dispatcher.workers[name])
     assert served.decayed_calls == 0
+
+
+# Guards against a budget that begins anew when the start of a worker that has got calls is announced.
+def test_what_a_worker_got_before_its_start_was_announced_counts() -> None:
+    driver = Driver(settings(), [entry("w0"), entry("w1")])
+    serve_calls(driver, calls_per_s=40, seconds=4)
+    sent = driver.dispatcher.workers["w0"].sends.total(driver.now_us)
+    assert sent > 10
+    driver.give(worker_list(entry("w0", started_us=driver.now_us - MS), kind=api.ListKind.DELTA))
+    assert driver.dispatcher.workers["w0"].sends.total(driver.now_us) == sent
+
+
+# Guards against a budget that begins anew after one list has left the worker out.
+def test_what_a_cold_worker_got_counts_after_one_list_has_left_it_out() -> None:
+    cold = entry("cold", started_us=START_US)
+    driver = Driver(settings(), [entry("w0"), cold])
+    serve_calls(driver, calls_per_s=40, seconds=4)
+    sent = driver.dispatcher.workers["cold"].sends.total(driver.now_us)
+    assert sent
+    driver.give(worker_list(entry("w0"), kind=api.ListKind.FULL))
+    driver.run(10 * MS)
+    driver.give(worker_list(entry("w0"), cold, kind=api.ListKind.FULL))
+    assert driver.dispatcher.workers["cold"].sends.total(driver.now_us) == sent
+    overload_window_us = settings().overload_window_us
+    driver.give(worker_list(entry("w0"), kind=api.ListKind.FULL))
+    driver.run(overload_window_us)
+    driver.give(worker_list(entry("w0"), kind=api.ListKind.FULL))
+    driver.give(worker_list(entry("w0"), cold, kind=api.ListKind.FULL))
+    assert not driver.dispatcher.workers["cold"].sends.total(driver.now_us)
