A restarted runner does not get what waited for its previous process

Cause: when a list announced the restart of a runner, the messages that waited on connections to the old process were sent over a new connection to the new one, past the gate that limits what a cold runner gets. They had been admitted for a warm one.

--- a/maplestile/requests/runner_directory.py
+++ b/maplestile/requests/runner_directory.py
@@ -12,7 +12,7 @@
 class RunnerDirectory:
     """The runners by uid: those on the endpoint list, and those that still have connections."""
 
-    def __init__(self, table: ConnectionTable, close: Callable[[Connection, Result], None]) -> None:
+    def __init__(self, table: ConnectionTable, close: Callable[[Connection, Result, bool], None]) -> None:
         self._table = table
         self._close = close
         self.runners: dict[str, Runner] = {}
@@ -48,7 +48,10 @@
             self._close_to_old_process(runner, moved)
 
     def _close_to_old_process(self, runner: Runner, moved: bool) -> None:
-        """Close connections to the runner's previous process, which will never answer on them."""
+        """Close connections to the runner's previous process, which will never answer on them.
+
+        What waits there is not resent: it was admitted for another process, whose capacity was known.
+        """
         for connection in list(runner.connections):
             if moved or connection.opened_us < runner.started_us:
-                self._close(connection, Result.RESET)
+                self._close(connection, Result.RESET, False)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -215,6 +215,23 @@
         await self.wait_until_ended(3)
         self.assertEqual(self.core.ended[3, 0], Result.OK)
 
+    # Guards against calls that pass a cold runner's budget by, as they waited for its previous process.
+    async def test_restarted_runner_does_not_get_what_waited_for_its_previous_process(self) -> None:
+        self.pool.limits = replace(self.pool.limits, streams=8, stall_us=60_000_000)
+        self.send(1, b"hang:")
+        await self.wait_until_run()
+        self.worker.pause()
+        self.send(2, bytes(OVER_ALL_BUFFERS))
+        self.send(3, b"abc")  # queued behind it
+        self.list_worker(started_us=2_000_000)
+        self.worker.resume()
+        failed = Result.CONNECT_FAILED
+        self.assertEqual(self.core.ended, {(1, 0): Result.RESET, (2, 0): failed, (3, 0): failed})
+        self.now = 3_000_000
+        self.send(4, b"abc")
+        await self.wait_until_ended(4)
+        self.assertEqual(len(self.worker.ran), 2)
+
     async def test_idle_connection_is_closed_before_the_runner_closes_it(self) -> None:
         self.send(1, b"abc")
         await self.wait_until_ended(1)
