The recorders' command servers close their connections as the agent's does

tests/test_recorded_control.py::WrittenTest::test_writes_recorded_bytes failed in both whole runs since the agent's handler leaves the close to common/stream_server.py, and passed alone in three runs of three: its double called the handler on a server of asyncio's, whose connections ended only when the garbage collector came. The double now listens as the agent does; the checks are the same.

--- a/tests/agent_doubles.py
+++ b/tests/agent_doubles.py
@@ -11,6 +11,7 @@
 from typing import Any, NamedTuple
 
 from maplestile.agent.router_client import ListedRunner, OperatorReply
+from maplestile.common.stream_server import start_stream_server
 from maplestile.control.commands import Command, EncodedCommand, EncodedReply, Heartbeat, as_encoded, decode
 from maplestile.control.errors import LogError
 from maplestile.control.log_view import ReceivedHeartbeat, RouterStatus, VoterStatus
@@ -83,7 +84,7 @@
 @contextlib.asynccontextmanager
 async def serving(handler: Handler) -> AsyncIterator[int]:
     """Serve connections with the handler on a free port, and yield the port."""
-    server = await asyncio.start_server(handler, "127.0.0.1", 0, limit=MAX_LINE_BYTES)
+    server = await start_stream_server(handler, "127.0.0.1", 0, MAX_LINE_BYTES)
     try:
         yield server.sockets[0].getsockname()[1]
     finally:
