--- a/maplestile/dispatch/send_gate.py
+++ b/maplestile/dispatch/send_gate.py
@@ -55,9 +55,10 @@
             is_forbidden_hedge = call.attempts_in_flight() and not call.settings.may_hedge
             if is_forbidden_hedge or not self.retry.may_repeat(call, worker):
                 return False
-            work_us = math.inf  # retries and hedged attempts never go to a worker in its slow start
-        else:
-            work_us = entry.service_us
+        if worker.slow_start_progress(now_us, call.settings.slow_start_us) >= 1:
+            return True
+        # Retries and hedged attempts never go to a worker in its slow start.
+        work_us = math.inf if call.attempts else entry.service_us
         min_calls = self._min_calls(entry, worker)
         return self.slow_start.admits(worker, call.settings, work_us, min_calls)
 
--- a/tests/release/trial.py
+++ b/tests/release/trial.py
@@ -71,6 +71,7 @@
         self.until_s = 0.0  # when the clients stop to call
         self.routers: list[Program] = []
         self.connections: list[list[SoakConnection]] = []  # by router
+        self.all_connections: list[SoakConnection] = []
 
     async def play(self) -> ReleaseRecord:
         """Play the scenario to its end, and return the record."""
@@ -92,6 +93,7 @@
         await asyncio.sleep(ENDING_S)
         await asyncio.gather(*self.tasks)
         self._close()
+        await asyncio.sleep(0)  # for the connections' readers to end
         return self.record
 
     async def _start_router(self) -> Program:
@@ -118,6 +120,7 @@
         ]
         for connection in connections:
             await connection.connect(port)
+        self.all_connections += connections
         return connections
 
     async def _call_all_the_time(self) -> None:
@@ -213,9 +216,8 @@
     def _close(self) -> None:
         for worker in self.workers:
             self._record_window(worker)
-        for connections in self.connections:
-            for connection in connections:
-                connection.close()
+        for connection in self.all_connections:
+            connection.close()
         for worker in self.workers:
             worker.close()
 
--- a/tests/standins/name_server.py
+++ b/tests/standins/name_server.py
@@ -1,5 +1,6 @@
 """A fake DNS server that answers with the list of workers, and functions that encode its records."""
 
+import contextlib
 import socket
 import struct
 import threading
@@ -58,12 +59,14 @@
         self.faults = []
 
     def _run(self) -> None:
-        while True:
-            query, peer = self.socket.recvfrom(512)
-            self.queries += 1
-            fault = self.faults.pop(0) if self.faults else ""
-            if fault != "lost":
-                self.socket.sendto(self._reply(query, truncated=fault == "cut"), peer)
+        """Answer queries until the socket is closed."""
+        with contextlib.suppress(OSError):
+            while True:
+                query, peer = self.socket.recvfrom(512)
+                self.queries += 1
+                fault = self.faults.pop(0) if self.faults else ""
+                if fault != "lost":
+                    self.socket.sendto(self._reply(query, truncated=fault == "cut"), peer)
 
     def _reply(self, query: bytes, truncated: bool) -> bytes:
         """Encode a reply with an SRV record for each worker, and additional records with its properties."""
