--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -62,6 +62,11 @@
         self._write(class_name, params, self._last_id)
         return request
 
+    @property
+    def has_sent(self) -> bool:
+        """Whether a request was sent on this connection."""
+        return self._last_id > 0
+
     def interrupt_one(self) -> None:
         """Give up an open request, if there is one."""
         if self.open:
@@ -119,6 +124,8 @@
             connection.interrupt_one()
         if source.random() < CLOSE_SHARE:
             connection.close()
+    if not connection.has_sent:  # connected as the time was up; the router would answer that nothing came
+        connection.close()
 
 
 async def come_in_a_crowd(connection: SoakConnection, port: int) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,8 +1,13 @@
 """Short soak trials: real routers under stepped clocks, signals in series, faulty workers and crowds."""
 
+import asyncio
+import random
+import time
+
 import pytest
 
 from tests.soak import schedule, settings
+from tests.soak.clients import SoakConnection, send_all_the_time
 from tests.soak.records import Answer, Arrival, Drain, ProcessEnd, SentRequest, TrialRecord
 from tests.soak.rules import broken_rules
 from tests.soak.trial import play
@@ -83,3 +88,17 @@
     record.ends = [ProcessEnd("r0.1", 10.0, 13.7, None, [])]
     record.ends.append(ProcessEnd("r1.1", 10.0, 11.0, 0, ['{"counters": {"loop.errors": 1}}\n']))
     assert [line.partition(":")[0] for line in broken_rules(record)] == ["drain", "crash", "crash"]
+
+
+# Guards against a trial that takes what a router says of a connection without a request for a second answer.
+def test_client_that_connects_as_its_time_is_up_leaves() -> None:
+    async def connect_late() -> SoakConnection:
+        server = await asyncio.start_server(lambda _reader, writer: writer.close(), "127.0.0.1", 0)
+        connection = SoakConnection("r0", TrialRecord(), random.Random(1))
+        await connection.connect(server.sockets[0].getsockname()[1])
+        await send_all_the_time(connection, time.monotonic())
+        server.close()
+        return connection
+
+    connection = asyncio.run(connect_late())
+    assert connection.ended and not connection.has_sent
