The trace of attempts tells how old their calls are; a test judges by it which calls are new

By reading: the test took a call for new if its first attempt was logged after the pause, but a call that was accepted before and had to wait keeps its policy (docs/policy-change.md). That the failure was such a call is suspected, its logs are gone.

--- a/maplestile/requests/attempts.py
+++ b/maplestile/requests/attempts.py
@@ -45,8 +45,9 @@
         self._clock = runtime.clock
         self._counters = runtime.counters
         self.in_flight: dict[AttemptId, InFlightAttempt] = {}
-        # Called with each attempt and the policy epoch that it was decided under; None for no callback.
-        self.on_sent: Callable[[AttemptId, int], None] | None = None
+        # Called with each attempt, the policy epoch that it was decided under, and the microseconds since its
+        # call was accepted; None for no callback.
+        self.on_sent: Callable[[AttemptId, int, int], None] | None = None
         # Called with each attempt after the first of its call.
         self.on_repeated: Callable[[RepeatedAttempt], None] = _ignore_repeat
 
@@ -69,7 +70,7 @@
         if action.epoch != pending.epoch:  # a bug: all attempts of a call must be decided under one policy
             self._counters["policy.mixed_calls"] += 1
         if self.on_sent is not None:
-            self.on_sent(attempt, action.epoch)
+            self.on_sent(attempt, action.epoch, now - pending.accepted_us)
         self._timers.call_at(now + max(0, wait_us), lambda: self._time_out(attempt))
         self._pool.send(attempt, action.worker, pending.request, max(1, wait_us), action.until_us)
 
--- a/maplestile/requests/records.py
+++ b/maplestile/requests/records.py
@@ -79,6 +79,7 @@
     due_us: int  # when it must be answered: its deadline, or the exit of the process if that is sooner
     answer: Callable[[Outcome], None]
     presence: Callable[[], Presence]
+    accepted_us: int = 0  # when it was accepted
     state: CallState = CallState.PENDING
     attempts: int = 0  # made so far
     first_attempt_us: int = 0  # when the first one was sent; 0 before that
--- a/maplestile/requests/request_intake.py
+++ b/maplestile/requests/request_intake.py
@@ -68,7 +68,8 @@
         exits_first = 0 < self.exit_us < due_us  # the process exits before the deadline
         if exits_first:
             due_us = self.exit_us
-        self._requests.add(call, PendingRequest(request, due_us, answer, presence, epoch=self._epochs.epoch))
+        pending = PendingRequest(request, due_us, answer, presence, accepted_us=now, epoch=self._epochs.epoch)
+        self._requests.add(call, pending)
         too_late = exits_first and due_us - now < self.limits.handover.min_budget_us
         reason = ShedReason.EXIT if too_late else self._shed_reason(now - received_us)
         if reason is not None:
--- a/maplestile/router/policy_driver.py
+++ b/maplestile/router/policy_driver.py
@@ -248,9 +248,12 @@
     def _stale_s(self, now_us: int) -> float:
         return round(self.follower.stale_us(now_us) / US_PER_S, 1)
 
-    def log_attempt(self, attempt: AttemptId, epoch: int) -> None:
-        """Log an attempt with the policy epoch under which it was sent; called if `trace` is set."""
-        self.events.info("attempt", call=attempt[0], attempt=attempt[1], epoch=epoch)
+    def log_attempt(self, attempt: AttemptId, epoch: int, age_us: int) -> None:
+        """Log an attempt with the policy epoch under which it was sent; called if `trace` is set.
+
+        `age_us` is the time since its call was accepted.
+        """
+        self.events.info("attempt", call=attempt[0], attempt=attempt[1], epoch=epoch, age_us=age_us)
 
     async def run(self) -> None:
         """Update and log the status at regular intervals until cancelled."""
--- a/maplestile/tools/explore/normal_form.py
+++ b/maplestile/tools/explore/normal_form.py
@@ -43,7 +43,7 @@
     Worker: frozenset(("salt",)),
     Call: frozenset(("settings", "kind")),
     Pool: frozenset(("limits", "clock", "counters", "transition", "core", "environment", "calls_written")),
-    PendingRequest: frozenset(("first_attempt_us", "last_result")),
+    PendingRequest: frozenset(("accepted_us", "first_attempt_us", "last_result")),
     Runner: frozenset(("connections",)),
     Message: frozenset(("line", "request")),
     # `NormalForm.connection` represents the socket, the queue and the partly written line.
