--- a/tests/test_decision_logs.py
+++ b/tests/test_decision_logs.py
@@ -10,7 +10,7 @@
 from maplestile.dispatch.slow_start import BudgetCheck
 from maplestile.router import endpoint_log, slow_start_log
 from maplestile.router.endpoint_log import MAX_NAMES, EndpointLog
-from maplestile.router.slow_start_log import MIN_GAP_US, SlowStartLog
+from maplestile.router.slow_start_log import MAX_LINES_PER_WINDOW, WINDOW_US, SlowStartLog
 from tests.helpers import MS, START_US, Driver, arrival, entry, settings, worker_list
 from tests.standins import Client, NameServer, Worker, params, start_router
 
@@ -72,12 +72,23 @@
     counters = Counter[str]()
     log = SlowStartLog(counters)
     for number in range(4):
-        now_us = START_US + number * MIN_GAP_US // 2
+        now_us = START_US + number * WINDOW_US // 2
         log.record(BudgetCheck("cold", now_us, now_us - START_US, number % 2 == 0, 1.0, 2.0, 3.0))
     assert counters == {"slow_start.admitted": 2, "slow_start.refused": 2}
     assert len(recorded.lines) == 2
 
 
+# Guards against a log that a release of a large fleet floods.
+def test_lines_about_many_cold_runners_are_limited(recorded: RecordedEvents) -> None:
+    counters = Counter[str]()
+    log = SlowStartLog(counters)
+    for number in range(3_000):
+        now_us = START_US + number * WINDOW_US // 1_000
+        log.record(BudgetCheck(f"w{number % 500}", now_us, 0, False, 1.0, 2.0, 3.0))
+    assert counters == {"slow_start.refused": 3_000}
+    assert len(recorded.lines) == 3 * MAX_LINES_PER_WINDOW
+
+
 def test_dispatcher_reports_each_check_of_a_cold_worker() -> None:
     driver = Driver(settings(), [entry("cold", started_us=START_US - MS)])
     checks = list[BudgetCheck]()
