Reasons for each rejected message and each end of a connection; memory in the counters

In the evidence all rejected messages are one kind of warning, of which five are shown in 10 s: a flood of one reason (too many open requests) hides every other one, the txn is not told, and nothing tells the memory of the process.

--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -110,18 +110,23 @@
             await self.rejector.reject(reader, writer)
             return
         client = self._open(reader, writer)
+        reason = "exit"
         try:
             await self._read_all(client)
             # A client that closes only its write side still waits for its answers.
             await self._wait_for_answers(client)
+            reason = _reason_of_end(client)
         except jsonrpc.FramingError as error:
+            reason = "malformed"
             await self._reject_malformed(client, error)
         except OSError as error:
+            reason = "lost"
             log.debug("platform client: connection lost: %r", error)
         except asyncio.CancelledError:  # the process is exiting
             writer.transport.abort()
             raise
         finally:
+            self.counters[f"clients.closed.{reason}"] += 1
             self._close(client)
             if writer.transport.get_write_buffer_size():
                 await self._flush(client)
@@ -153,8 +158,11 @@
 
     async def _reject_malformed(self, client: Client, error: jsonrpc.FramingError) -> None:
         """Answer a message that cannot be framed, and close the connection after its pending answers."""
+        reason = error.reason.value
         self.counters["clients.malformed"] += 1
-        log.warning("platform client: malformed or incomplete input: %s; closing the connection", error)
+        self.counters[f"clients.malformed.{reason}"] += 1
+        text = f"platform client: malformed or incomplete input ({reason}): %s; closing the connection"
+        log.warning(text, error)
         self.answer_writer.write(client, jsonrpc.error(None, jsonrpc.PARSE_ERROR, str(error)))
         await self._wait_for_answers(client)  # to the requests before the malformed message
         if client.writer.is_closing() or client.reader.ended:
@@ -226,7 +234,8 @@
                 return await bounded_reads.read_within(left_us / 1e6, lambda: client.reader.take(max_bytes))
             except TimeoutError:
                 if not client.calls:
-                    raise jsonrpc.FramingError("no whole message in time") from None
+                    text = "no whole message in time"
+                    raise jsonrpc.FramingError(jsonrpc.CloseReason.TIME, text) from None
                 client.message_wait_since_us = self.core.clock()
 
     async def _wait_for_answers(self, client: Client) -> None:
@@ -235,3 +244,10 @@
             client.all_answered.clear()
             await wait_until_set(client.all_answered, CLOSE_POLL_S)
             client.detect_close()
+
+
+def _reason_of_end(client: Client) -> str:
+    """Return why a connection without malformed input has ended, as a part of a counter name."""
+    if client.write_closed:
+        return "drain"
+    return "router" if client.writer.is_closing() else "client"
--- a/maplestile/net/request_handler.py
+++ b/maplestile/net/request_handler.py
@@ -9,6 +9,7 @@
 from maplestile.net.graceful_close import GracefulClose
 from maplestile.requests.core import Core
 from maplestile.wire import jsonrpc
+from maplestile.wire.jsonrpc import RejectReason
 from maplestile.wire.messages import Outcome, Verdict
 
 log = logging.getLogger("maplestile.net.platform")
@@ -45,12 +46,12 @@
                 case jsonrpc.Check():
                     self.answer_writer.write(client, jsonrpc.result(message.id, {"ready": self.is_ready()}))
         except jsonrpc.RpcError as error:
-            self.counters["clients.malformed"] += 1
-            log.warning("platform client: message rejected: %s; sending an error answer", error)
+            self._record_rejection(error)
             self.answer_writer.write(client, jsonrpc.error(error.id, error.code, str(error)))
             client.bad_messages += 1
             if client.bad_messages > limits.clients.bad_messages:
-                raise jsonrpc.FramingError("too many messages that cannot be used") from None
+                text = "too many messages that cannot be used"
+                raise jsonrpc.FramingError(jsonrpc.CloseReason.REJECTED, text) from None
 
     def cancel_all(self, client: Client) -> None:
         """Withdraw all open calls of a connection that is closing."""
@@ -64,12 +65,22 @@
             for number in client.call_numbers():
                 self.core.client_disconnected(number)
 
+    def _record_rejection(self, error: jsonrpc.RpcError) -> None:
+        """Count and log a rejected message; the limit on log lines applies to each reason by itself."""
+        reason = error.reason.value
+        self.counters["clients.malformed"] += 1
+        self.counters[f"clients.malformed.{reason}"] += 1
+        text = f"platform client: message rejected ({reason}): txn %s: %s; sending an error answer"
+        log.warning(text, error.tag or "unknown", error)
+
     def _call(self, client: Client, call: jsonrpc.Call, received_us: int) -> None:
         """Pass a call to the core, which answers it once unless it is cancelled. Raises RpcError."""
         if call.id in client.calls:  # the client could not tell the two answers apart
-            raise jsonrpc.RpcError(jsonrpc.INVALID_REQUEST, "an id that is open already")
+            text = "an id that is open already"
+            raise jsonrpc.RpcError(jsonrpc.INVALID_REQUEST, RejectReason.NUMBER, text, tag=call.request.tag)
         if len(client.calls) >= self.table.limits.clients.streams:
-            raise jsonrpc.RpcError(jsonrpc.REFUSED, "too many open requests on one connection", call.id)
+            text = "too many open requests on one connection"
+            raise jsonrpc.RpcError(jsonrpc.REFUSED, RejectReason.STREAMS, text, call.id, call.request.tag)
         if client.reader.ended:  # the client has disconnected, so do not start the call
             self.counters["clients.disconnected_before"] += 1
             self.answer_writer.write(client, jsonrpc.answer(call.id, Outcome(Verdict.REJECTED)))
--- a/maplestile/router/process.py
+++ b/maplestile/router/process.py
@@ -24,6 +24,7 @@
 from maplestile.router.drain import Drain
 from maplestile.router.fronts import open_client_fronts, open_operator_front
 from maplestile.router.gc_scheduler import GcScheduler
+from maplestile.router.memory_monitor import MemoryMonitor
 from maplestile.router.policy_attachment import attach_policy, start_policy
 from maplestile.router.readiness import Readiness
 from maplestile.router.reload import Reloader
@@ -55,6 +56,8 @@
         self.reloader = Reloader(self.components, self.discovery, load_config)
         self.gc_scheduler = GcScheduler(self.components.counters)
         self.wall_clock_monitor = WallClockMonitor(self.components.counters)
+        memory_mb = self.components.config.limits.process.memory_mb
+        self.memory_monitor = MemoryMonitor(memory_mb, self.components.counters)
         self.handover: HandoverMonitor | None = None
         if policy is not None:
             attach_policy(self.components, policy)
@@ -146,6 +149,7 @@
     async def _sweep(self) -> None:
         while True:
             self.wall_clock_monitor.check()
+            self.memory_monitor.check()
             await asyncio.sleep(SWEEP_S)
             self.components.runners.sweep()
             self.gc_scheduler.collect_if_due(time.monotonic())
--- a/maplestile/wire/jsonrpc.py
+++ b/maplestile/wire/jsonrpc.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from enum import Enum
 from functools import lru_cache
 from typing import Any
 
@@ -33,9 +34,33 @@
 NAME_PATTERN = re.compile("[0-9A-Za-z._-]{1,64}")
 
 
+class RejectReason(Enum):
+    """Why a message is rejected; the values are parts of counter names and log lines."""
+
+    JSON = "json"  # no JSON
+    REQUEST = "request"  # no request object with a method, parameters and a number
+    METHOD = "method"  # neither a class nor a method of the protocol
+    FIELD = "field"  # a field is missing, of another form, or out of range
+    NUMBER = "number"  # its number is in use on the connection
+    STREAMS = "streams"  # too many open requests on the connection
+
+
+class CloseReason(Enum):
+    """Why a connection is closed; the values are parts of counter names and log lines."""
+
+    HEAD = "head"  # a head without a length, or without an end
+    SIZE = "size"  # a message that is too long
+    TIME = "time"  # a message that was not complete in time
+    REJECTED = "rejected"  # too many messages that were rejected
+
+
 class FramingError(Exception):
     """A fault in the byte stream after which messages can no longer be told apart."""
 
+    def __init__(self, reason: CloseReason, text: str) -> None:
+        super().__init__(text)
+        self.reason = reason
+
 
 MAX_ERROR_CHARACTERS = 200  # of the text of an error, which may quote a part of the message
 
@@ -43,10 +68,12 @@
 class RpcError(Exception):
     """An invalid message that is answered with an error; the connection stays open."""
 
-    def __init__(self, code: int, text: str, id_: object = None) -> None:
+    def __init__(self, code: int, reason: RejectReason, text: str, id_: object = None, tag: str = "") -> None:
         super().__init__(shortened(text, MAX_ERROR_CHARACTERS))
         self.code = code
+        self.reason = reason
         self.id = id_  # identifier of the message; None if it has no usable one
+        self.tag = tag  # transaction of the message; empty if it has no usable one
 
 
 @dataclass(slots=True, frozen=True)
@@ -109,7 +136,7 @@
             yield view[body : body + size]
             start = body + size
         if head_end < 0 and len(buffer) - start >= self.limits.head_bytes:
-            raise FramingError("a head without an end")
+            raise FramingError(CloseReason.HEAD, "a head without an end")
         self.incomplete = bytes(view[start:])  # a copy, since the view is only valid until the next feed
 
     def _body_size(self, head: bytes) -> int:
@@ -118,15 +145,15 @@
         for line in head.split(b"\r\n"):
             name, colon, value = line.partition(b":")
             if not colon:
-                raise FramingError("a head line without a colon")
+                raise FramingError(CloseReason.HEAD, "a head line without a colon")
             if name.strip().lower() == b"content-length":
                 sizes.append(value.strip())
         # Only digits: int() also accepts signs, underscores and spaces, which a peer may read differently.
         if len(sizes) != 1 or not sizes[0].isdigit() or len(sizes[0]) > MAX_LENGTH_DIGITS:
-            raise FramingError("no single Content-Length")
+            raise FramingError(CloseReason.HEAD, "no single Content-Length")
         size = int(sizes[0])
         if size > self.limits.message_bytes:
-            raise FramingError(f"a message of {size} bytes")
+            raise FramingError(CloseReason.SIZE, f"a message of {size} bytes")
         return size
 
 
@@ -140,27 +167,28 @@
     try:
         message = json.loads(str(view, "utf-8"))
     except (ValueError, RecursionError):  # RecursionError: deep nesting must not crash the process
-        raise RpcError(PARSE_ERROR, "no JSON") from None
+        raise RpcError(PARSE_ERROR, RejectReason.JSON, "no JSON") from None
     if not isinstance(message, dict):  # a batch is an array, and not supported
-        raise RpcError(INVALID_REQUEST, "no request object")
+        raise RpcError(INVALID_REQUEST, RejectReason.REQUEST, "no request object")
     id_ = message.get("id")
     method = message.get("method")
     params = message.get("params", {})
     number = id_ if isinstance(id_, int) and not isinstance(id_, bool) else None
     if not isinstance(method, str) or not isinstance(params, dict):
-        raise RpcError(INVALID_REQUEST, "no method or no params object", number)
+        raise RpcError(INVALID_REQUEST, RejectReason.REQUEST, "no method or no params object", number)
+    tag = _readable_tag(params)
     if method == "interrupt":
         return _parse_interrupt(params, number)
     if number is None:
-        raise RpcError(INVALID_REQUEST, "field 'id' is no number")
+        raise RpcError(INVALID_REQUEST, RejectReason.REQUEST, "field 'id' is no number", tag=tag)
     if method == "check":
         return Check(number)
     if method not in known.classes:
-        raise RpcError(UNKNOWN_METHOD, "unknown class", number)
+        raise RpcError(UNKNOWN_METHOD, RejectReason.METHOD, "unknown class", number, tag)
     try:
         return Call(number, _parse_request(method, params, limits, known))
     except (ValueError, OverflowError) as error:
-        raise RpcError(INVALID_PARAMS, str(error), number) from None
+        raise RpcError(INVALID_PARAMS, RejectReason.FIELD, str(error), number, tag) from None
 
 
 def answer(id_: int, outcome: Outcome) -> bytes:
@@ -194,6 +222,12 @@
     return b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
 
 
+def _readable_tag(params: dict[str, Any]) -> str:
+    """Return the transaction of a message that may be invalid; empty if it is not of its form."""
+    txn = params.get("txn")
+    return txn if isinstance(txn, str) and TXN_PATTERN.fullmatch(txn) else ""
+
+
 def _parse_interrupt(params: dict[str, Any], number: int | None) -> Interrupt:
     target = params.get("id")
     txn = params.get("txn")
