--- a/tests/standins/router_config.py
+++ b/tests/standins/router_config.py
@@ -75,13 +75,14 @@
     port: int = 0,
     clock: SteppedClock | None = None,
     shims: Mapping[str, str] | None = None,
+    limits: Mapping[str, float] | None = None,
     **changes: Any,
 ) -> Program:
     """Start a router as the platform does.
 
     If `folder` is given, it is the router's temporary folder, and the router has an operators' front as well.
-    With a `clock`, it runs under a wall clock that the test steps, and with the shims that the environment
-    variables in `shims` turn on.
+    `limits` are those on the process. With a `clock`, it runs under a wall clock that the test
+    steps, and with the shims that the environment variables in `shims` turn on.
     """
     targets = [target(f"s-{number}", worker.port) for number, worker in enumerate(workers)]
     endpoint_list = {"index": 1, "updates": [{"index": 1, "endpoints": {"all": True, "targets": targets}}]}
@@ -90,7 +91,7 @@
         "listen": f"127.0.0.1:{port}",
         "seed": os.urandom(8).hex(),
         "known": endpoint_list,
-        "limits": {"sockets": 256},
+        "limits": limits or {"sockets": 256},
         "dns": f"127.0.0.1:{names.port}",
         "settings": params(**changes),
     }
