A closed connection frees its input at once, not with the next full garbage collection

Cause: reader, connection and framer of a closed connection referred to each other (on_end, and the error of a lost connection with the frames that it had passed, which hold up to 50 KB of input), and so did the error of a malformed message while its connection lingered. Such cycles waited for a full collection, which comes after 15 s at the earliest. Change: at its end a connection drops its buffers and on_end, and errors are kept without their frames.

--- a/maplestile/net/client_reader.py
+++ b/maplestile/net/client_reader.py
@@ -19,9 +19,17 @@
         ...
 
 
+def _do_nothing() -> None:
+    """Do nothing at the end of a stream."""
+
+
 class ClientReader(asyncio.StreamReader):
     """A stream reader that reports end of stream at once, even while earlier bytes are still buffered."""
 
+    # Of asyncio's stream reader, which has no method that drops them.
+    _buffer: bytearray
+    _exception: Exception | None
+
     def __init__(self, max_read_bytes: int, timestamps: ReceiveTimestamps) -> None:
         super().__init__(max_read_bytes)
         self.max_read_bytes = max_read_bytes
@@ -30,7 +38,7 @@
         self.read_was_full = False  # the last read filled the buffer, so the socket may hold more input
         self.buffered_bytes = 0  # read from the socket, and not yet returned by `take`
         self.ended = False
-        self.on_end: Callable[[], object] = lambda: None
+        self.on_end: Callable[[], object] = _do_nothing
         self._last_idle_us = 0  # `timestamps.last_idle_us` at the last read
 
     def feed_data(self, data: bytes) -> None:  # type: ignore[override]  # narrower than typeshed's buffers
@@ -55,10 +63,23 @@
         self.end()
 
     def set_exception(self, exc: Exception) -> None:
-        """Record that the connection is lost."""
-        super().set_exception(exc)
+        """Record that the connection is lost; the error is kept without the frames of a failed write."""
+        super().set_exception(exc.with_traceback(None))
         self.end()
 
+    def release(self) -> None:
+        """Drop the buffered input, and what else refers to the connection, once nobody reads any more.
+
+        Otherwise it stays until the next full garbage collection: the error of a lost connection refers to
+        the frames that it passed, and `on_end` to the connection.
+        """
+        self.on_end = _do_nothing
+        self.buffered_bytes = 0
+        self._buffer.clear()
+        if self._exception is not None:  # asyncio's protocol keeps it as well
+            self._exception.with_traceback(None)
+            self._exception = None
+
     def end(self) -> None:
         """Mark the stream as ended, and call `on_end` the first time."""
         if not self.ended:
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -112,13 +112,14 @@
         client = self._open(reader, writer)
         reason = "exit"
         try:
-            await self._read_all(client)
-            # A client that closes only its write side still waits for its answers.
-            await self._wait_for_answers(client)
-            reason = _reason_of_end(client)
-        except jsonrpc.FramingError as error:
-            reason = "malformed"
-            await self._reject_malformed(client, error)
+            error = await self._read_until_end(client)
+            if error is not None:
+                reason = "malformed"
+                await self._reject_malformed(client, error)
+            else:
+                # A client that closes only its write side still waits for its answers.
+                await self._wait_for_answers(client)
+                reason = _reason_of_end(client)
         except OSError as error:
             reason = "lost"
             log.debug("platform client: connection lost: %r", error)
@@ -147,6 +148,8 @@
         self.clients.pop(client, None)
         self.request_handler.cancel_all(client)
         client.writer.close()
+        client.framer.incomplete = b""
+        client.reader.release()
 
     async def _flush(self, client: Client) -> None:
         """Wait for a limited time until the client has read its last answers."""
@@ -173,6 +176,17 @@
         linger_s = self.limits.clients.linger_us / 1e6
         await bounded_reads.end_and_discard(client.writer, lambda: client.reader.take(max_bytes), linger_s)
 
+    async def _read_until_end(self, client: Client) -> jsonrpc.FramingError | None:
+        """Handle messages until the connection ends; return the error if it ends for malformed input.
+
+        Raises OSError if the connection is lost.
+        """
+        try:
+            await self._read_all(client)
+        except jsonrpc.FramingError as error:
+            return error.without_frames()
+        return None
+
     async def _read_all(self, client: Client) -> None:
         """Handle messages until the client closes its write side or the router closes the connection.
 
--- a/maplestile/net/request_handler.py
+++ b/maplestile/net/request_handler.py
@@ -49,9 +49,9 @@
             self._record_rejection(error)
             self.answer_writer.write(client, jsonrpc.error(error.id, error.code, str(error)))
             client.bad_messages += 1
-            if client.bad_messages > limits.clients.bad_messages:
-                text = "too many messages that cannot be used"
-                raise jsonrpc.FramingError(jsonrpc.CloseReason.REJECTED, text) from None
+        if client.bad_messages > limits.clients.bad_messages:
+            text = "too many messages that cannot be used"
+            raise jsonrpc.FramingError(jsonrpc.CloseReason.REJECTED, text)
 
     def cancel_all(self, client: Client) -> None:
         """Withdraw all open calls of a connection that is closing."""
--- a/maplestile/wire/jsonrpc.py
+++ b/maplestile/wire/jsonrpc.py
@@ -61,6 +61,11 @@
         super().__init__(text)
         self.reason = reason
 
+    def without_frames(self) -> "FramingError":
+        """Return the error without the frames that it passed, which hold the input of its connection."""
+        self.__context__ = None
+        return self.with_traceback(None)
+
 
 MAX_ERROR_CHARACTERS = 200  # of the text of an error, which may quote a part of the message
 
