A client that goes on writing slowly no longer puts off the time limit of its message

Cause: after the time for a message (1.5 s) one more short read is made, for bytes that a busy loop reads late. Change: the reads after the time are counted for each message, and are at most as many as the longest message takes. The new test fails before (still open after four times the limit) and holds now; 48 tests of the front and of deadlines hold.

--- a/maplestile/net/client.py
+++ b/maplestile/net/client.py
@@ -33,6 +33,7 @@
     # Start of the wait for the next complete message: time of the connect, or of the message's first byte.
     message_wait_since_us: int
     message_reads: int = 0  # reads that completed at least one message
+    late_reads: int = 0  # reads of the incomplete message since its time was up
     bad_messages: int = 0  # invalid messages received
     calls: dict[int, OpenCall] = field(default_factory=dict)  # by JSON-RPC id, in the order of their arrival
     all_answered: asyncio.Event = field(default_factory=asyncio.Event)  # set when no call is open any more
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -227,6 +227,7 @@
         client.is_handling = False
         if count:
             client.message_wait_since_us = received_us
+            client.late_reads = 0
             self.graceful_close.record_activity(client)
 
     async def _read(self, client: Client) -> bytes:
@@ -244,14 +245,26 @@
         # forever. One with a pending answer stays open anyway, and its input must still be read meanwhile.
         while True:
             left_us = client.message_wait_since_us + self.limits.clients.message_us - self.core.clock()
+            self._count_late_read(client, left_us)
             try:
                 return await bounded_reads.read_within(left_us / 1e6, lambda: client.reader.take(max_bytes))
             except TimeoutError:
                 if not client.calls:
-                    text = "no whole message in time"
-                    raise jsonrpc.FramingError(jsonrpc.CloseReason.TIME, text) from None
+                    raise _message_timeout() from None
                 client.message_wait_since_us = self.core.clock()
 
+    def _count_late_read(self, client: Client, left_us: int) -> None:
+        """Count a read after the time for a message; raises FramingError after the last one that is allowed.
+
+        A busy event loop reads late what came in time, so a message may still be completed by as many reads
+        as the longest one takes. A client that goes on writing slowly would never be found silent.
+        """
+        if left_us > 0 or client.calls:
+            return
+        client.late_reads += 1
+        if client.late_reads > 1 + self.limits.messages.message_bytes // self.limits.clients.read_bytes:
+            raise _message_timeout()
+
     async def _wait_for_answers(self, client: Client) -> None:
         """Return once no request is open on the connection, or the connection is closed."""
         while client.calls and not client.writer.is_closing():
@@ -260,6 +273,11 @@
             client.detect_close()
 
 
+def _message_timeout() -> jsonrpc.FramingError:
+    """Return the error of a connection whose next message was not complete in time."""
+    return jsonrpc.FramingError(jsonrpc.CloseReason.TIME, "no whole message in time")
+
+
 def _reason_of_end(client: Client) -> str:
     """Return why a connection without malformed input has ended, as a part of a counter name."""
     if client.write_closed:
--- a/tests/test_front_closing.py
+++ b/tests/test_front_closing.py
@@ -26,6 +26,23 @@
         idle.send(b"Content-")  # the time limit also applies to a later incomplete message
         self.assertIn("error", await idle.read_answer())
 
+    async def test_closes_connection_whose_message_never_ends_although_each_piece_comes_soon(self) -> None:
+        """Guards against a time limit that a client puts off by writing a little all the time."""
+        client = await self.connect()
+        closed = asyncio.ensure_future(client.read_answer())
+        sent = SHORT_CALL_FRAME[:-1]
+        deadline_us = self.harness.now + CLIENT_LIMITS.message_us
+        for position in range(len(sent)):
+            if closed.done():
+                break
+            client.send(sent[position : position + 1])
+            self.harness.now += 4 * CLIENT_LIMITS.message_us // len(sent)
+            await asyncio.sleep(0.005)
+        self.assertTrue(closed.done(), "still open after four times the time limit")
+        self.assertIn("error", await closed)
+        self.assertGreater(self.harness.now, deadline_us)
+        self.assertEqual(self.counters["clients.malformed.time"], 1)
+
     async def test_accepts_request_that_arrived_in_time_while_loop_was_busy(self) -> None:
         """A single iteration of a busy event loop sees both the timeout and the bytes that came in time."""
         for first in (b"", SHORT_CALL_FRAME[:-1]):
