--- a/maplestile/__main__.py
+++ b/maplestile/__main__.py
@@ -14,6 +14,9 @@
         from maplestile.tools import cli
 
         return cli.main()
+    from maplestile.common.lean_imports import import_asyncio_without_tls
+
+    import_asyncio_without_tls()
     from maplestile.router import process
 
     return process.platform()
--- a/maplestile/net/dns_client.py
+++ b/maplestile/net/dns_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-import secrets
+import random
 from collections import Counter
 from collections.abc import Callable
 
@@ -55,7 +55,8 @@
         self.on_no_descriptor = on_no_descriptor  # called if no file descriptor is free for the socket
         self.transport: asyncio.DatagramTransport | None = None
         self._socket = QuerySocket(counters)
-        first_id = secrets.randbelow(ID_VALUES)  # unpredictable, so that replies are harder to forge
+        # Unpredictable, so that replies are harder to forge; `secrets` would load OpenSSL.
+        first_id = random.SystemRandom().randrange(ID_VALUES)
         self._ids = (number % ID_VALUES for number in itertools.count(first_id))
 
     async def open(self) -> None:
