--- a/tests/test_gc_scheduler.py
+++ b/tests/test_gc_scheduler.py
@@ -30,12 +30,16 @@
         counters["clients.connections"] += 100
         scheduler.collect_if_due(100.5)
         assert dead() is None and counters["gc.longest_us"] > 0
-        closed = SelfReference()
-        dead = weakref.ref(closed)
-        del closed
+        old = SelfReference()
+        gc.collect()  # moves the object to the oldest generation
+        dead = weakref.ref(old)
+        del old
+        briefly_open = SelfReference()
+        dead_young = weakref.ref(briefly_open)
+        del briefly_open
         counters["clients.connections"] += 100
-        scheduler.collect_if_due(101.0)  # not due so soon after the last collection
-        assert dead() is not None
+        scheduler.collect_if_due(101.0)  # a full one is not due so soon after the last collection
+        assert dead() is not None and dead_young() is None
     finally:
         scheduler.stop()
         gc.unfreeze()
