Incomplete messages and read-ahead of all clients together have a bound, cut from the memory left

What callers saw: a router that passed its memory limit among hundreds of clients that stop half way through a large request, and so lost all that it had taken. Cause: incomplete messages (33 KB) and read-ahead input (48 KB) were bounded for each of 496 connections and not for all together, and the limits were cut from a constant base that is lower than what a process uses. Change: InputBudget drops the oldest incomplete message, first of clients that have completed none, once all hold more than an eighth of the spare memory; a dropped message ends its connection with an error. The size of a read follows the memory for each connection. The spare memory leaves out what the process uses before it accepts clients, as measured, and what each connection takes. A message is collected in place, without a copy of its start at each read. Two processes that share 32 MB during an upgrade do not fit: each needs 21 MB by itself. That stays open.

--- a/maplestile/net/connection_rejector.py
+++ b/maplestile/net/connection_rejector.py
@@ -55,11 +55,11 @@
         limits = self.table.limits
         max_bytes = limits.clients.read_bytes
         framer = jsonrpc.Framer(limits.messages)
-        bounded_reads.limit_read_size(writer.transport, max_bytes)
+        bounded_reads.limit_read_size(writer.transport, reader.max_read_bytes)
         loop = asyncio.get_running_loop()
         end_s = loop.time() + limits.clients.first_request_us / 1e6
         refused = 0
-        while not refused or framer.incomplete:
+        while not refused or framer.expects_rest:
             data = await bounded_reads.read_within(end_s - loop.time(), lambda: reader.take(max_bytes))
             if not data:
                 return
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -4,7 +4,6 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Iterator
-from functools import partial
 
 from maplestile.common.waiting import wait_until_set
 from maplestile.dispatch.api import Settings
@@ -15,6 +14,7 @@
 from maplestile.net.client_table import ClientTable
 from maplestile.net.connection_rejector import ConnectionRejector
 from maplestile.net.graceful_close import GracefulClose
+from maplestile.net.input_budget import InputBudget
 from maplestile.net.listen import Listener, listen
 from maplestile.net.request_handler import RequestHandler
 from maplestile.net.stream_close import flush_and_close
@@ -41,6 +41,7 @@
         self.counters = counters
         self.timestamps = timestamps
         self.table = ClientTable(limits, counters, core.clock)
+        self.input_budget = InputBudget(self.table)
         self.answer_writer = AnswerWriter(self.table)
         self.graceful_close = GracefulClose(self.table)
         self.request_handler = RequestHandler(core, self.answer_writer, self.graceful_close, is_ready)
@@ -66,12 +67,11 @@
         With `reuse_port`, another process may listen on the same address.
         """
         limits = self.limits.listeners
-        new_reader = partial(ClientReader, self.limits.clients.read_bytes, self.timestamps)
         return await listen(
             host,
             port,
             self._serve,
-            new_reader,
+            lambda: ClientReader(self.limits.clients.read_bytes, self.timestamps),
             limits.accept_burst,
             limits.accept_queue,
             self.counters,
@@ -135,7 +135,7 @@
     def _open(self, reader: ClientReader, writer: asyncio.StreamWriter) -> Client:
         """Add a connection to the table, and subscribe to the end of its input."""
         limits = self.limits
-        bounded_reads.limit_read_size(writer.transport, limits.clients.read_bytes)
+        bounded_reads.limit_read_size(writer.transport, reader.max_read_bytes)
         now_us = self.core.clock()
         client = Client(reader, writer, jsonrpc.Framer(limits.messages), now_us, last_active_us=now_us)
         self.clients[client] = None
@@ -148,8 +148,9 @@
         self.clients.pop(client, None)
         self.request_handler.cancel_all(client)
         client.writer.close()
-        client.framer.incomplete = b""
+        client.framer.discard_incomplete()
         client.reader.release()
+        self.input_budget.forget(client)
 
     async def _flush(self, client: Client) -> None:
         """Wait for a limited time until the client has read its last answers."""
@@ -225,6 +226,7 @@
                 self.counters["clients.crossed_close"] += 1
                 break
         client.is_handling = False
+        self.input_budget.record(client, completed_message=count > 0)
         if count:
             client.message_wait_since_us = received_us
             client.late_reads = 0
@@ -236,7 +238,7 @@
         Raises FramingError if the next message is not complete in time.
         """
         max_bytes = self.limits.clients.read_bytes
-        between_requests = client.message_reads > 0 and not client.framer.incomplete
+        between_requests = client.message_reads > 0 and not client.framer.expects_rest
         if between_requests:  # may stay idle without a time limit
             data = await client.reader.take(max_bytes)
             client.message_wait_since_us = self.core.clock()
--- a/maplestile/router/components.py
+++ b/maplestile/router/components.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from maplestile.common.process_memory import resident_bytes
 from maplestile.dispatch.api import ListKind
 from maplestile.net.listen import Listener
 from maplestile.net.platform import PlatformFront
@@ -19,6 +20,7 @@
 from maplestile.router.config import Config
 from maplestile.router.endpoint_log import EndpointLog
 from maplestile.router.slow_start_log import SlowStartLog
+from maplestile.wire.limits import BASE_MEMORY_MB, MB
 
 if TYPE_CHECKING:  # imported at run time only if the configuration needs them, to save start time and memory
     from maplestile.invoke.api import InvokeApi
@@ -58,6 +60,7 @@
         self.stopping = asyncio.Event()  # set once the process is asked to stop
         self.is_listening = False
         self.process_count = 1  # number of processes that share the budgets
+        self.base_memory_mb = BASE_MEMORY_MB  # memory of this process before it has served any request
         self.platform: PlatformFront | None = None
         self.platform_listener: Listener | None = None
         self.invoke: InvokeFront | None = None
@@ -165,9 +168,14 @@
         core.dispatcher.slow_start.on_check = SlowStartLog(self.counters).record
         return core
 
+    def measure_base_memory(self) -> None:
+        """Derive the limits on memory from what the process uses before it accepts clients."""
+        self.base_memory_mb = max(BASE_MEMORY_MB, resident_bytes() / MB)
+        self._apply_limits()
+
     def _apply_limits(self) -> None:
         """Pass this process's share of the configured limits to each component."""
-        self.limits = self.config.limits.divided_among(self.process_count)
+        self.limits = self.config.limits.divided_among(self.process_count, self.base_memory_mb)
         self.core.limits = self.limits
         self.runners.limits = self.limits.runners
         if self.platform is not None:
--- a/maplestile/router/process.py
+++ b/maplestile/router/process.py
@@ -139,6 +139,7 @@
         components = self.components
         if components.stopping.is_set():  # asked to stop during the start: accept no clients
             return []
+        components.measure_base_memory()
         listeners = await open_client_fronts(components, self.readiness)
         if listeners:
             components.is_listening = True
--- a/maplestile/wire/jsonrpc.py
+++ b/maplestile/wire/jsonrpc.py
@@ -51,6 +51,7 @@
     HEAD = "head"  # a head without a length, or without an end
     SIZE = "size"  # a message that is too long
     TIME = "time"  # a message that was not complete in time
+    MEMORY = "memory"  # its incomplete message was dropped, since those of all clients took too much memory
     REJECTED = "rejected"  # too many messages that were rejected
 
 
@@ -125,24 +126,44 @@
 
     def __init__(self, limits: MessageLimits) -> None:
         self.limits = limits
-        self.incomplete = b""  # start of a message that is not complete yet
+        self.incomplete = bytearray()  # start of a message that is not complete yet
+        self._missing_bytes = 0  # of that message, if its head is complete
+        self._was_discarded = False  # the start of the message was dropped
+
+    @property
+    def expects_rest(self) -> bool:
+        """Whether a message has begun that is not complete yet."""
+        return bool(self.incomplete) or self._was_discarded
+
+    def discard_incomplete(self) -> None:
+        """Drop the start of an incomplete message; any further input is a `FramingError`."""
+        self.incomplete.clear()
+        self._was_discarded = True
 
     def feed(self, data: bytes) -> Iterator[memoryview]:
         """Yield the bodies of the messages that are now complete; raises `FramingError`."""
-        buffer = self.incomplete + data if self.incomplete else data
+        if self._was_discarded:
+            raise FramingError(CloseReason.MEMORY, "incomplete messages took too much memory")
+        if len(data) < self._missing_bytes:
+            self.incomplete += data
+            self._missing_bytes -= len(data)
+            return
+        buffer = bytes(self.incomplete) + data if self.incomplete else data
         view = memoryview(buffer)
         start = 0
-        self.incomplete = b""
+        self.incomplete.clear()
+        self._missing_bytes = 0
         while (head_end := buffer.find(HEAD_END, start, start + self.limits.head_bytes)) >= 0:
             body = head_end + len(HEAD_END)
             size = self._body_size(buffer[start:head_end])
             if body + size > len(buffer):
+                self._missing_bytes = body + size - len(buffer)
                 break
             yield view[body : body + size]
             start = body + size
         if head_end < 0 and len(buffer) - start >= self.limits.head_bytes:
             raise FramingError(CloseReason.HEAD, "a head without an end")
-        self.incomplete = bytes(view[start:])  # a copy, since the view is only valid until the next feed
+        self.incomplete += view[start:]
 
     def _body_size(self, head: bytes) -> int:
         """Return the body size given in a message head."""
--- a/maplestile/wire/limits.py
+++ b/maplestile/wire/limits.py
@@ -16,8 +16,11 @@
 RESERVED_DESCRIPTORS = 32  # for listeners, log, name server, interpreter, and a burst of accepted connections
 # For connections that are accepted and not counted yet, or rejected and not closed yet: two bursts.
 BURST_DESCRIPTORS = 32
-BASE_MEMORY_MB = 20  # memory of the process before it has served any request
-MIN_SPARE_MEMORY_MB = 8  # minimum memory for requests and unread answers, however little is available
+BASE_MEMORY_MB = 20.0  # least memory of a process before it has served any request
+CONNECTION_BYTES = 6 * KB  # memory of an open client connection that holds no input
+MIN_SPARE_MEMORY_MB = 4  # minimum memory for requests and unread answers, however little is available
+READS_AHEAD = 3  # socket reads that a stream may buffer
+READ_AHEAD_SHARE = 4  # part of the spare memory for what the streams of all clients buffer
 ANSWER_BYTES = 230_000  # longest body of a runner's answer
 
 
@@ -47,8 +50,9 @@
     # Time after which a closing connection with unread answers may be evicted; clients that read need less.
     unread_eviction_us: int = 1_000_000
     linger_us: int = 100_000  # time to read and discard input after a message that cannot be framed
-    # Size of a socket read. A stream buffers up to twice as much, so under 50 KB of a client are read ahead.
+    # Size of a socket read. A stream buffers up to three times as much before it stops reading.
     read_bytes: int = 16 * KB
+    incomplete_bytes: int = 16 * MB  # incomplete messages of all clients together
 
 
 @dataclass(slots=True, frozen=True)
@@ -233,8 +237,11 @@
         shutdown = self.shutdown
         return min(longest_us, shutdown.kill_deadline_us) + shutdown.kill_spare_us
 
-    def divided_among(self, process_count: int) -> "Limits":
-        """Return the limits of one process where `process_count` processes share descriptors and memory."""
+    def divided_among(self, process_count: int, base_memory_mb: float = BASE_MEMORY_MB) -> "Limits":
+        """Return the limits of one process where `process_count` processes share descriptors and memory.
+
+        `base_memory_mb` is the memory of the process before it has served any request.
+        """
         default = type(self)()
         descriptors = self.process.descriptors // process_count
         # Runners are few, with a handful of connections each; clients hold a third of the descriptors, and
@@ -242,9 +249,11 @@
         runners = max(1, descriptors // 2 - RESERVED_DESCRIPTORS - BURST_DESCRIPTORS)
         operators = self.operators.connections
         clients = descriptors - runners - RESERVED_DESCRIPTORS - BURST_DESCRIPTORS - operators
-        spare_mb = int(max(MIN_SPARE_MEMORY_MB, self.process.memory_mb / process_count - BASE_MEMORY_MB))
-        spare_bytes = spare_mb * MB
+        connections_mb = clients * CONNECTION_BYTES / MB
+        spare_mb = self.process.memory_mb / process_count - base_memory_mb - connections_mb
+        spare_bytes = int(max(MIN_SPARE_MEMORY_MB, spare_mb)) * MB
         all_unread_bytes = min(default.clients.all_unread_bytes, spare_bytes // 8)
+        read_bytes = spare_bytes // (READ_AHEAD_SHARE * READS_AHEAD * max(1, clients)) // KB * KB
         return replace(
             self,
             clients=replace(
@@ -252,6 +261,8 @@
                 connections=max(1, clients),
                 all_unread_bytes=all_unread_bytes,
                 unread_bytes=min(default.clients.unread_bytes, max(MB, all_unread_bytes // 2)),
+                read_bytes=min(default.clients.read_bytes, max(KB, read_bytes)),
+                incomplete_bytes=min(default.clients.incomplete_bytes, spare_bytes // 8),
             ),
             requests=replace(self.requests, open_bytes=min(default.requests.open_bytes, spare_bytes // 3)),
             runners=replace(self.runners, connections=runners),
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -46,6 +46,10 @@
         self.port = self.program.port("platform")
         Client(self.port).call_until_served("review", b"before")
 
+    def test_router_does_not_load_openssl(self) -> None:
+        """Guards against 5 MB of the least memory for a library that no router uses."""
+        self.assertNotIn("libcrypto", Path(f"/proc/{self.program.process.pid}/maps").read_text())
+
     def test_crowds_do_not_exceed_the_least_memory(self) -> None:
         """Guards against input that is bounded for each connection, but not for all connections together."""
         peaks_mb = {"before": peak_memory_mb(self.program)}
