A call whose txn was used before gets an error, whatever became of the call before

What callers saw: an id ran twice as it came again, while it was open, after its answer, or after its client had left; a bad client got 'served' under the id of another client's request. Cause: nothing remembered the ids of calls. Two open calls with one id were only kept apart on the connections to runners. Change: RecentIds keeps the ids of the latest calls in two hash tables of a fixed size (4,096 to 65,536 ids at least, by the memory), and the front answers a call under one of them with an error, which says nothing on whether the id has run. The table of limits has the new one.

--- a/maplestile/net/client.py
+++ b/maplestile/net/client.py
@@ -20,7 +20,7 @@
 class OpenCall:
     """A call of a client that has no answer yet."""
 
-    tag: str  # chosen by the client, which may use one for several calls
+    tag: str  # chosen by the client, new with each call
     number: int | None = None  # at the core; None while the call is being submitted
 
 
--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -19,6 +19,7 @@
 from maplestile.net.request_handler import RequestHandler
 from maplestile.net.stream_close import flush_and_close
 from maplestile.requests.core import Core
+from maplestile.requests.recent_ids import RecentIds
 from maplestile.wire import jsonrpc
 from maplestile.wire.jsonrpc_params import AllowedNames
 from maplestile.wire.limits import Limits
@@ -37,7 +38,10 @@
         counters: Counter[str],
         timestamps: ReceiveTimestamps,
         is_ready: Callable[[], bool],
+        add_id: Callable[[int], bool] | None = None,
     ) -> None:
+        """`add_id` remembers the id of a request, and returns whether it was new; None for a new memory."""
+        add_id = add_id or RecentIds(limits.requests.recent_ids).add
         self.core = core
         self.counters = counters
         self.timestamps = timestamps
@@ -45,7 +49,7 @@
         self.input_budget = InputBudget(self.table)
         self.answer_writer = AnswerWriter(self.table)
         self.graceful_close = GracefulClose(self.table)
-        self.request_handler = RequestHandler(core, self.answer_writer, self.graceful_close, is_ready)
+        self.request_handler = RequestHandler(core, self.answer_writer, self.graceful_close, is_ready, add_id)
         self.rejector = ConnectionRejector(self.table, self.request_handler.known_names, is_ready)
 
     @property
--- a/maplestile/net/request_handler.py
+++ b/maplestile/net/request_handler.py
@@ -14,6 +14,7 @@
 from maplestile.wire.messages import Outcome, Verdict
 
 log = logging.getLogger("maplestile.net.platform")
+HEXADECIMAL = 16
 
 
 class RequestHandler:
@@ -25,13 +26,16 @@
         answer_writer: AnswerWriter,
         graceful_close: GracefulClose,
         is_ready: Callable[[], bool],
+        add_id: Callable[[int], bool],
     ) -> None:
+        """`add_id` remembers the id of a request, and returns whether it was new."""
         self.core = core
         self.table = answer_writer.table
         self.counters = answer_writer.table.counters
         self.answer_writer = answer_writer
         self.graceful_close = graceful_close
         self.is_ready = is_ready
+        self.add_id = add_id
         self.known_names = AllowedNames.from_settings(core.settings)  # served classes and tenants
 
     def handle(self, client: Client, view: memoryview, received_us: int) -> None:
@@ -79,6 +83,9 @@
         if not client.used_numbers.add(call.id):  # the client could not tell the two answers apart
             text = "an id that was used before"
             raise jsonrpc.RpcError(jsonrpc.INVALID_REQUEST, RejectReason.NUMBER, text, tag=call.request.tag)
+        if not self.add_id(int(call.request.tag, HEXADECIMAL)):
+            text = "a txn that was used before"
+            raise jsonrpc.RpcError(jsonrpc.INVALID_REQUEST, RejectReason.TXN, text, call.id, call.request.tag)
         if len(client.calls) >= self.table.limits.clients.streams:
             text = "too many open requests on one connection"
             raise jsonrpc.RpcError(jsonrpc.REFUSED, RejectReason.STREAMS, text, call.id, call.request.tag)
--- a/maplestile/wire/jsonrpc.py
+++ b/maplestile/wire/jsonrpc.py
@@ -39,6 +39,7 @@
     METHOD = "method"  # neither a class nor a method of the protocol
     FIELD = "field"  # a field is missing, of another form, or out of range
     NUMBER = "number"  # its number was used before on the connection
+    TXN = "txn"  # its transaction was used before
     STREAMS = "streams"  # too many open requests on the connection
 
 
--- a/maplestile/wire/limits.py
+++ b/maplestile/wire/limits.py
@@ -19,6 +19,8 @@
 BASE_MEMORY_MB = 20.0  # least memory of a process before it has served any request
 CONNECTION_BYTES = 6 * KB  # memory of an open client connection that holds no input
 MIN_SPARE_MEMORY_MB = 4  # minimum memory for requests and unread answers, however little is available
+RECENT_IDS_SHARE = 32  # part of the spare memory for the ids of the latest requests
+RECENT_ID_BYTES = 32  # memory for each of them, twice as many being kept at times
 READS_AHEAD = 3  # socket reads that a stream may buffer
 READ_AHEAD_SHARE = 4  # part of the spare memory for what the streams of all clients buffer
 ANSWER_BYTES = 230_000  # longest body of a runner's answer
@@ -71,6 +73,7 @@
     open_bytes: int = 64 * MB  # memory of open requests: bodies, copies of them being sent, and records
     max_lag_us: int = 60_000  # from the arrival of a request to its handling; later ones are rejected
     max_retry_after_us: int = 1_000_000  # longest time after which a rejected client is told to retry
+    recent_ids: int = 65_536  # ids of the latest requests that are remembered at least; a power of two
 
 
 @dataclass(slots=True, frozen=True)
@@ -254,6 +257,7 @@
         spare_bytes = int(max(MIN_SPARE_MEMORY_MB, spare_mb)) * MB
         all_unread_bytes = min(default.clients.all_unread_bytes, spare_bytes // 8)
         read_bytes = spare_bytes // (READ_AHEAD_SHARE * READS_AHEAD * max(1, clients)) // KB * KB
+        recent_ids = spare_bytes // (RECENT_IDS_SHARE * RECENT_ID_BYTES)
         return replace(
             self,
             clients=replace(
@@ -264,6 +268,10 @@
                 read_bytes=min(default.clients.read_bytes, max(KB, read_bytes)),
                 incomplete_bytes=min(default.clients.incomplete_bytes, spare_bytes // 8),
             ),
-            requests=replace(self.requests, open_bytes=min(default.requests.open_bytes, spare_bytes // 3)),
+            requests=replace(
+                self.requests,
+                open_bytes=min(default.requests.open_bytes, spare_bytes // 3),
+                recent_ids=min(default.requests.recent_ids, 1 << (recent_ids.bit_length() - 1)),
+            ),
             runners=replace(self.runners, connections=runners),
         )
