--- a/tests/test_process_ids.py
+++ b/tests/test_process_ids.py
@@ -6,9 +6,10 @@
 from typing import Any
 
 from tests.operation_fixture import OperationTestCase, wait_until_ready
-from tests.standins import Client, call_lines, eventually, in_base64
+from tests.standins import PATIENCE_S, Client, Program, call_lines, eventually, in_base64
 
 KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+IDS = 24  # enough that connections reach both processes
 SECOND_BODY = b"other"  # of the requests that come again
 CLASSES: dict[str, dict[str, Any]] = {"review": {}, "test-submit": {}, "deck-make": {"unique": KEY}}
 
@@ -18,6 +19,11 @@
     return os.urandom(8).hex()
 
 
+def taken_requests(program: Program) -> int:
+    """Return how many requests a process has accepted or refused."""
+    return program.counters().get("requests.taken", 0)
+
+
 class RepeatedIdTest(OperationTestCase):
     """A request under an id that was used before gets an error, and is not sent on."""
 
@@ -62,3 +68,35 @@
         self.assertEqual(served, [])
         sent = [line["call"] for line in call_lines(*self.workers) if line["bytes"] == in_base64(SECOND_BODY)]
         self.assertEqual(sent, [])
+
+    def test_id_that_comes_again_at_the_other_process_of_an_upgrade_does_not_run_again(self) -> None:
+        """Guards against an id that runs at both processes of an upgrade."""
+        before = [self.served_id() for _ in range(IDS)]
+        successor = self.start_router(self.port)
+        wait_until_ready(successor)
+        taken = taken_requests(self.program)
+        between = [self.served_id() for _ in range(IDS)]
+        for _ in range(2):
+            served = [txn for txn in (*before, *between) if "result" in self.ask("test-submit", b"y", txn)]
+            self.assertEqual(served, [])
+        # Clients have reached both processes, so that ids came again at the other one.
+        self.assertGreater(taken_requests(self.program), taken)
+        self.assertGreater(taken_requests(successor), 0)
+        self.program.process.terminate()
+        self.assertEqual(self.program.process.wait(PATIENCE_S), 0)
+        served = [txn for txn in (*before, *between) if "result" in self.ask("test-submit", b"y", txn)]
+        self.assertEqual(served, [])
+        self.assert_ran_once([*before, *between])
+
+    def served_id(self) -> str:
+        """Have a call served that may not run twice, and return its id; a busy router refuses some calls."""
+
+        def try_call() -> str:
+            txn = new_id()
+            return txn if "result" in self.ask("test-submit", b"x", txn) else ""
+
+        return str(eventually(try_call, "a call to be served"))
+
+    def assert_ran_once(self, ids: list[str]) -> None:
+        runs = self.runs()
+        self.assertEqual({txn: runs[txn] for txn in ids if runs[txn] != 1}, {})
