The two processes of an upgrade share the ids of their requests

What callers saw: a request of a class that may not run twice ran again as its id came to the other process of an upgrade. Cause: each process knew only the ids that it had had itself. Change: IdExchange. Once there is another process, each writes its ids to a file in the shared folder, and each new id before it handles the request; it reads the other's file after writing its own. A successor accepts clients once it has the predecessor's ids, or after 1 s.

--- a/maplestile/router/components.py
+++ b/maplestile/router/components.py
@@ -28,6 +28,7 @@
     from maplestile.net.http import HttpFront
     from maplestile.operation.cordons import Cordons
     from maplestile.operation.handover import Handover
+    from maplestile.operation.id_exchange import IdExchange
     from maplestile.operation.shared_endpoints import SharedEndpoints
     from maplestile.router.policy_driver import PolicyDriver
     from maplestile.router.records import Records
@@ -68,6 +69,7 @@
         self.cordons: Cordons | None = None
         self.handover: Handover | None = None
         self.shared_endpoints: SharedEndpoints | None = None  # created together with the handover
+        self.id_exchange: IdExchange | None = None  # created together with the handover
         self.peers: GossipDriver | None = None
         self.policy: PolicyDriver | None = None
         self._is_list_saved = True  # false if the list could not be written for a successor
--- a/maplestile/router/fronts.py
+++ b/maplestile/router/fronts.py
@@ -10,6 +10,7 @@
 from maplestile.common.address import parse_address
 from maplestile.net.listen import Listener
 from maplestile.net.platform import PlatformFront
+from maplestile.requests.recent_ids import RecentIds
 from maplestile.router.components import Components, InvokeFront
 from maplestile.router.readiness import Readiness
 
@@ -69,6 +70,7 @@
     """Load the cordons from the configured folder, and join the handover between processes that share it."""
     from maplestile.operation.cordons import Cordons
     from maplestile.operation.handover import Handover
+    from maplestile.operation.id_exchange import IdExchange
     from maplestile.operation.shared_endpoints import SharedEndpoints
     from maplestile.operation.state_folder import FileCordonStore, ProcessLocks
 
@@ -88,13 +90,23 @@
         return
     components.shared_endpoints = SharedEndpoints(config.folder, components.counters)
     components.adopt_endpoints()
+    recent_ids = RecentIds(components.limits.requests.recent_ids)
+    components.id_exchange = IdExchange(recent_ids, config.folder, components.counters)
+    if components.handover.is_alone:
+        components.id_exchange.stop_sharing()  # removes what killed processes have left
 
 
 async def _open_platform_front(components: Components, readiness: Readiness) -> Listener:
     config = components.config
     assert config.listen is not None
+    exchange = components.id_exchange
     front = PlatformFront(
-        components.core, components.limits, components.counters, components.selector, readiness.is_ready
+        components.core,
+        components.limits,
+        components.counters,
+        components.selector,
+        readiness.is_ready,
+        exchange.add if exchange is not None else None,
     )
     components.platform = front
     # Even if the folder is unusable: two processes that cannot hand over may still serve one after the other.
--- a/maplestile/router/takeover.py
+++ b/maplestile/router/takeover.py
@@ -4,11 +4,14 @@
 import logging
 
 from maplestile.operation.handover import Handover, HandoverStage
-from maplestile.router.clock import poll_until
+from maplestile.router.clock import clock, poll_until
 from maplestile.router.components import Components
 from maplestile.router.readiness import Readiness
 
 log = logging.getLogger("maplestile")
+# How long a successor waits for the ids of the predecessor's requests. The predecessor looks for a successor
+# ten times a second; one of an earlier release leaves no ids.
+IDS_WAIT_US = 1_000_000
 
 
 class HandoverMonitor:
@@ -32,7 +35,8 @@
             self.components.name,
             handover.stage.value,
         )
-        await poll_until(self._may_take_clients)
+        wait_for_ids_until_us = clock() + IDS_WAIT_US
+        await poll_until(lambda: self._may_take_clients() and self._has_ids(wait_for_ids_until_us))
 
     async def run(self) -> None:
         """Observe the other process at regular intervals until cancelled."""
@@ -50,6 +54,7 @@
         if self.handover.stage is not stage_before:
             log.info("%s: %s", components.name, self.handover.stage.value)
             components.save_endpoints()
+        self._share_ids(has_advanced=self.handover.stage is not stage_before)
         components.save_endpoints_again()
         if components.adopt_endpoints():
             log.info("%s: the endpoint list of the other process is newer, and applies", components.name)
@@ -59,6 +64,24 @@
             log.info("%s: splitting the limits into budgets for %d processes", components.name, process_count)
             components.share_budgets(process_count)
 
+    def _share_ids(self, has_advanced: bool) -> None:
+        """Share the ids of requests with the other process while there is one."""
+        exchange = self.components.id_exchange
+        assert exchange is not None  # created together with the handover
+        is_alone = self.handover.process_count == 1
+        if exchange.is_sharing and (is_alone or has_advanced):
+            exchange.stop_sharing()
+        if not is_alone and self.handover.stage is not HandoverStage.WAITING:
+            exchange.share(is_successor=not self.handover.is_alone)
+            exchange.collect()
+
+    def _has_ids(self, wait_until_us: int) -> bool:
+        """Return whether the ids of the predecessor's requests are known, or were waited for long enough."""
+        exchange = self.components.id_exchange
+        if exchange is None or self.components.stopping.is_set() or self.handover.is_alone:
+            return True
+        return clock() >= wait_until_us or (exchange.is_sharing and exchange.has_predecessors_ids())
+
     def _poll_locks(self) -> None:
         """Announce that this process can serve, once it can, and poll the handover locks."""
         try:
