The close of a client is looked for between two batches of a read

By reading: while a client's buffered input is over 32 KB its socket is not read, and the four batches of one read passed without a look at it. With five to ten such clients each batch may take 50 ms, too short for the check of stale input.

--- a/maplestile/net/platform.py
+++ b/maplestile/net/platform.py
@@ -208,6 +208,7 @@
                 await asyncio.sleep(0)  # let other connections run while this one floods
                 if client.writer.is_closing():
                     return
+                client.detect_close()  # its socket may not be read meanwhile
 
     def _handle_messages(self, client: Client, data: bytes) -> Iterator[None]:
         """Handle the messages that one read completes, and yield after each batch.
--- a/tests/standins/crowd.py
+++ b/tests/standins/crowd.py
@@ -12,10 +12,10 @@
 WAVE_S = 0.8  # for which a wave of a crowd stays
 
 
-def encoded_call(body_characters: int, **params: Any) -> bytes:
+def encoded_call(body_characters: int, number: int = 1, **params: Any) -> bytes:
     """Encode a call with a body of that many characters of base64, and further parameters."""
     fields = {"txn": os.urandom(8).hex(), "limit": 3_000, "item": ITEM, "blob": "A" * body_characters}
-    message = {"jsonrpc": "2.0", "id": 1, "method": "review", "params": fields | params}
+    message = {"jsonrpc": "2.0", "id": number, "method": "review", "params": fields | params}
     content = json.dumps(message).encode()
     return b"Content-Length: %d\r\n\r\n%b" % (len(content), content)
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -3,8 +3,10 @@
 import asyncio
 import socket
 from typing import Any
+from unittest import mock
 
 from maplestile.dispatch.api import Result
+from maplestile.net.client import Client
 from maplestile.net.client_reader import ClientReader
 from tests.front_fixture import (
     CLIENT_LIMITS,
@@ -105,6 +107,30 @@
             self.front.answer_writer.write(client, framed(b"{}"))
         return False
 
+    async def test_close_is_found_between_two_batches_of_a_read(self) -> None:
+        """Guards against calls that begin after their client has left, while its socket is not read."""
+        self.front.limits = changed_limits(streams=1000)
+        client = socket.create_connection(self.server.address)
+        handle = self.front.request_handler.handle
+        taken_before_reset = 0
+
+        def handle_and_reset(accepted: Client, view: memoryview, received_us: int) -> None:
+            nonlocal taken_before_reset
+            handle(accepted, view, received_us)
+            reading_is_paused = accepted.reader.buffered_bytes > 2 * accepted.reader.max_read_bytes
+            if reading_is_paused and not taken_before_reset:
+                reset_on_close(client)
+                client.close()
+                taken_before_reset = self.harness.core.counters["requests.taken"]
+
+        with mock.patch.object(self.front.request_handler, "handle", handle_and_reset):
+            client.sendall(b"".join(call_frame(number) for number in range(1, 400)))
+            await self.wait_until_connected()
+            await self.wait_until_disconnected()
+        self.assertGreater(taken_before_reset, 0)
+        late = self.harness.core.counters["requests.taken"] - taken_before_reset
+        self.assertLessEqual(late, self.front.limits.clients.batch_messages)
+
     async def test_reset_while_input_is_discarded_raises_no_exception(self) -> None:
         """Guards against a traceback in the log for each such reset; a busy day had 6,672 of them."""
         errors = list[dict[str, Any]]()
