Input no longer counts as being as old as a pause for as long as one client sends

What callers saw: while one client sent at full speed, the calls of all others were refused. Cause: after a pause of the process (over 0.1 s, here a full garbage collection) input counts as being as old as the pause until a select has waited. With one client that always has input ready no select waits, so every request was shed as too old until that client stopped. Change: a pause ends once three selects in a row have found no connection to accept, or after as many as it takes to accept a whole queue. By then each connection has been read; a reader knows by itself whether its last read was full, and keeps the old time if so.

--- a/maplestile/net/receive_timestamps.py
+++ b/maplestile/net/receive_timestamps.py
@@ -1,12 +1,21 @@
 """Records the earliest time at which input can have arrived, since a busy event loop reads it later."""
 
 import selectors
+import socket
 import time
 from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from _typeshed import FileDescriptorLike
 
 MIN_WAIT_S = 0.00005  # a select that took longer has waited, so its events are new
 LONG_GAP_S = 0.05  # a longer gap between two selects leaves old input unread
 PAUSE_S = 0.1  # a longer gap between two selects, or after a select was due, counts as a pause of the process
+# After a pause, a loop that never waits has caught up once this many selects in a row found no connection
+# to accept, or at the latest after as many as it takes to accept a whole queue, 1,024 in bursts of 16.
+SELECTS_WITHOUT_ACCEPT = 3
+MAX_CATCH_UP_SELECTS = 66
 
 
 class TimestampingSelector(selectors.DefaultSelector):
@@ -26,6 +35,22 @@
         self._returned_s = time.perf_counter()  # the same by the monotonic clock
         self._paused_since_us = 0  # start of a pause of the process; 0 once the loop has caught up
         self._had_long_gap = False  # no select has waited since the last gap over `LONG_GAP_S`
+        self._listening_descriptors = set[int]()
+        self._selects_since_pause = 0
+        self._selects_without_accept = 0  # in a row
+
+    def register(self, fileobj: "FileDescriptorLike", events: int, data: Any = None) -> selectors.SelectorKey:
+        """Register a file object, and remember whether it is a listening socket."""
+        key = super().register(fileobj, events, data)
+        if isinstance(fileobj, socket.socket) and fileobj.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            self._listening_descriptors.add(key.fd)
+        return key
+
+    def unregister(self, fileobj: "FileDescriptorLike") -> selectors.SelectorKey:
+        """Unregister a file object."""
+        key = super().unregister(fileobj)
+        self._listening_descriptors.discard(key.fd)
+        return key
 
     def may_have_stale_input(self) -> bool:
         """Return whether input may be unread that arrived more than `LONG_GAP_S` ago."""
@@ -48,8 +73,24 @@
         overrun_s = 0.0 if timeout is None else took_s - max(0.0, timeout)
         waited = may_wait and took_s > MIN_WAIT_S  # then all earlier input had been read
         self._record_select(busy_s, overrun_s, may_wait, waited)
+        self._record_catch_up(found)
         return found
 
+    def _record_catch_up(self, found: list[tuple[selectors.SelectorKey, int]]) -> None:
+        """End a pause once all input of that time must have been read, although no select has waited.
+
+        A client that sends all the time keeps the loop from ever waiting, and the input of all others would
+        count as being as old as the pause. Each reader knows whether its own input was read to the end.
+        """
+        if not self._paused_since_us:
+            return
+        accepts = any(key.fd in self._listening_descriptors for key, _ in found)
+        self._selects_since_pause += 1
+        self._selects_without_accept = 0 if accepts else self._selects_without_accept + 1
+        quiet = self._selects_without_accept > SELECTS_WITHOUT_ACCEPT
+        if quiet or self._selects_since_pause > MAX_CATCH_UP_SELECTS:
+            self._paused_since_us = 0
+
     def _record_select(self, busy_s: float, overrun_s: float, may_wait: bool, waited: bool) -> None:
         """Update the timestamps after a select, from the time it took and the time since the one before.
 
@@ -65,6 +106,7 @@
             self._had_long_gap = False
         if was_paused:
             self._paused_since_us = self._returned_us
+            self._selects_since_pause = self._selects_without_accept = 0
         elif waited:
             self._paused_since_us = 0
             self.last_idle_us = now_us
--- a/tests/test_receive_timestamps.py
+++ b/tests/test_receive_timestamps.py
@@ -58,3 +58,50 @@
         writer.send(b"x")
         selector.select(0.02)  # returns 0.36 s late, so its event may be as old as the previous select
         self.assertEqual((selector.earliest_event_us, selector.last_idle_us), (1_520_000, 1_520_000))
+
+
+class BusyLoopTest(unittest.TestCase):
+    """An event loop that never waits, since a client sends all the time."""
+
+    STEP_US = 1_000  # from one select to the next
+    PAUSE_US = 1_500_000
+
+    def setUp(self) -> None:
+        self.now_us = 1_000_000
+        clock = unittest.mock.patch(CLOCK, lambda: self.now_us / 1e6)
+        clock.start()
+        self.addCleanup(clock.stop)
+        self.selector = TimestampingSelector(lambda: self.now_us)
+        self.addCleanup(self.selector.close)
+        reader, writer = socket.socketpair()
+        self.addCleanup(reader.close)
+        self.addCleanup(writer.close)
+        writer.send(b"x")  # is never read
+        self.selector.register(reader, selectors.EVENT_READ)
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        self.selector.register(self.listener, selectors.EVENT_READ)
+
+    def ages_us(self, selects: int) -> list[int]:
+        """Return the greatest possible age of the events of each of the next selects."""
+        ages = list[int]()
+        for _ in range(selects):
+            self.now_us += self.STEP_US
+            self.selector.select(0.01)
+            ages.append(self.now_us - self.selector.earliest_event_us)
+        return ages
+
+    def test_input_of_other_clients_is_not_as_old_as_a_pause_for_good(self) -> None:
+        """Guards against requests of all clients that are shed as too old while one client sends."""
+        self.now_us += self.PAUSE_US
+        ages = self.ages_us(10)
+        self.assertGreater(min(ages[:3]), self.PAUSE_US)
+        self.assertLess(max(ages[5:]), self.PAUSE_US)
+
+    def test_connections_that_waited_to_be_accepted_are_as_old_as_a_pause(self) -> None:
+        client = socket.create_connection(self.listener.getsockname())  # is never accepted
+        self.addCleanup(client.close)
+        self.now_us += self.PAUSE_US
+        ages = self.ages_us(80)
+        self.assertGreater(min(ages[:60]), self.PAUSE_US)
+        self.assertLess(max(ages[70:]), self.PAUSE_US)
