Timers of calls, attempts and requests that have ended are cancelled

What callers saw: memory grew without end while one client sent small sound requests. Cause: the timers of a call (its deadline, the time of each attempt, the dispatcher's two) stayed until they were due, with the call and all that it refers to: for as long as the client would have waited, up to 600 s, at 2.6 MB a second from one connection. Change: TimerQueue.cancel. The dispatcher tells which of its timers it no longer needs beside its actions; a driver may let them fire, as the simulator does, for they do nothing.

--- a/maplestile/dispatch/call_router.py
+++ b/maplestile/dispatch/call_router.py
@@ -114,7 +114,7 @@
         overdue_us = OVERDUE_SERVICE_TIMES * expected_service_us(call) + load_us
         # If the call ends before that, a timer would only keep the call in memory.
         if now_us + overdue_us < call.due_us:
-            context.set_timer(overdue_us, lambda: self.on_overdue(call, attempt))
+            attempt.overdue_timer = context.set_timer(overdue_us, lambda: self.on_overdue(call, attempt))
 
     # Retries and hedged attempts.
 
@@ -190,6 +190,7 @@
         if self.table.calls.pop(call.id, None) is None:
             return
         call.open = False
+        self.context.cancel_timer(call.deadline_timer)
         call.entry.waiting.pop(call.id, None)
         if call.settings.may_cancel and not call.streaming:
             cancellations = [
--- a/maplestile/dispatch/context.py
+++ b/maplestile/dispatch/context.py
@@ -39,6 +39,7 @@
         self.random = random
         self.salt = salt  # hash of the seed, so that slow-start limits differ between dispatchers
         self.timers: dict[int, Callable[[], object]] = {}
+        self.cancelled_timers: list[int] = []  # tokens of timers that were cancelled during this event
         self.last_token = 0
         self.apply_settings(settings)
 
@@ -48,11 +49,17 @@
         self.classes = {call_class.name: call_class for call_class in settings.classes}
         self.keep_alive_us = settings.keep_alive_us or DEFAULT_KEEP_ALIVE_US
 
-    def set_timer(self, delay_us: float, callback: Callable[[], object]) -> None:
-        """Schedule `callback` after the delay, or after one microsecond if the delay is shorter."""
+    def set_timer(self, delay_us: float, callback: Callable[[], object]) -> int:
+        """Schedule `callback` after the delay, or after one microsecond if that is longer; return a token."""
         self.last_token += 1
         self.timers[self.last_token] = callback
         self.actions.append(api.SetTimer(self.now_us + max(1, int(delay_us)), self.last_token))
+        return self.last_token
+
+    def cancel_timer(self, token: int) -> None:
+        """Drop a timer's callback, with what it refers to; a timer that has fired, or 0, is ignored."""
+        if self.timers.pop(token, None) is not None:
+            self.cancelled_timers.append(token)
 
     def fire_timer(self, token: int) -> None:
         """Call the timer's callback; do nothing if the timer is unknown or has already fired."""
--- a/maplestile/dispatch/dispatcher.py
+++ b/maplestile/dispatch/dispatcher.py
@@ -47,6 +47,13 @@
         self._create_load_rules()
         self._create_call_rules()
 
+    def take_cancelled_timers(self) -> list[int]:
+        """Return the tokens of the timers that the last event has cancelled, for a driver that can drop them.
+
+        A driver may also let them fire: they do nothing.
+        """
+        return self.context.cancelled_timers
+
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
         """Handle one event and return the actions to take, in order.
 
@@ -55,6 +62,7 @@
         context = self.context
         context.now_us = now_us
         actions = context.actions = []
+        context.cancelled_timers = []
         if not context.last_token:
             self._sweep()
         match event:
--- a/maplestile/dispatch/intake.py
+++ b/maplestile/dispatch/intake.py
@@ -48,7 +48,7 @@
         self.load_requests.arrivals.add(now_us)
         self.retry.add_to_budget()
         self.tiers.record_call(entry)
-        context.set_timer(due_us - now_us, lambda: self.router.finish(call))
+        call.deadline_timer = context.set_timer(due_us - now_us, lambda: self.router.finish(call))
         if self.admission.rejects(event.repeat):
             self.router.finish(call)
         else:
--- a/maplestile/dispatch/outcomes.py
+++ b/maplestile/dispatch/outcomes.py
@@ -51,6 +51,7 @@
         call, attempt = in_flight
         entry = call.entry
         attempt.result = event.result
+        self.router.context.cancel_timer(attempt.overdue_timer)
         entry.copy(attempt.worker).busy -= 1
         entry.busy -= 1
         attempt.worker.busy -= 1
--- a/maplestile/dispatch/state.py
+++ b/maplestile/dispatch/state.py
@@ -94,6 +94,7 @@
     sent_us: int
     needs_load: bool  # whether no warm copy was known at the worker when the attempt was sent
     result: Result | None = None  # None while the attempt is in flight
+    overdue_timer: int = 0  # token of the timer that finds it overdue; 0 if there is none
 
 
 @dataclass(slots=True, eq=False)
@@ -194,6 +195,7 @@
     open: bool = True  # whether the final answer is still to be given
     streaming: bool = False  # whether an answer has begun to reach the client
     client_disconnected: bool = False
+    deadline_timer: int = 0  # token of the timer of its deadline
 
     def accepts_attempts(self, now_us: int) -> bool:
         """Return whether a new attempt may begin.
--- a/maplestile/invoke/record_journal.py
+++ b/maplestile/invoke/record_journal.py
@@ -28,7 +28,7 @@
 RETRY_US = 250_000  # after a failed write
 BOOT_ID_FILE = Path("/proc/sys/kernel/random/boot_id")
 
-Timer = Callable[[int, Callable[[], object]], None]  # calls a function at a time of the router's clock
+Timer = Callable[[int, Callable[[], object]], object]  # calls a function at a time of the router's clock
 
 
 @dataclass(slots=True, eq=False)
--- a/maplestile/invoke/store.py
+++ b/maplestile/invoke/store.py
@@ -16,7 +16,7 @@
 
 FIRST_ERROR_STATUS = 400  # HTTP statuses from here on are errors
 
-Timer = Callable[[int, Callable[[], object]], None]  # calls a function at a time of the core's clock
+Timer = Callable[[int, Callable[[], object]], object]  # calls a function at a time of the core's clock
 
 
 @dataclass(slots=True, eq=False)
--- a/maplestile/requests/attempts.py
+++ b/maplestile/requests/attempts.py
@@ -64,14 +64,14 @@
         pending.attempts += 1
         remaining_us = pending.due_us - now
         wait_us = min(action.timeout_us or remaining_us, remaining_us)
-        self.in_flight[attempt] = InFlightAttempt(action.worker, now)
+        flight = self.in_flight[attempt] = InFlightAttempt(action.worker, now)
         self._counters["attempts.sent"] += 1
         self._epochs.count_attempt(action.epoch)
         if action.epoch != pending.epoch:  # a bug: all attempts of a call must be decided under one policy
             self._counters["policy.mixed_calls"] += 1
         if self.on_sent is not None:
             self.on_sent(attempt, action.epoch, now - pending.accepted_us)
-        self._timers.call_at(now + max(0, wait_us), lambda: self._time_out(attempt))
+        flight.timeout_timer = self._timers.call_at(now + max(0, wait_us), lambda: self._time_out(attempt))
         self._pool.send(attempt, action.worker, pending.request, max(1, wait_us), action.until_us)
 
     def cancel(self, action: api.CancelAttempt) -> None:
@@ -115,6 +115,7 @@
         if flight is None:
             self._counters["attempts.late"] += 1
             return
+        self._timers.cancel(flight.timeout_timer)
         self._counters[f"attempts.{result.value}"] += 1
         call = attempt[0]
         pending = self._requests.open.get(call)
--- a/maplestile/requests/control_requests.py
+++ b/maplestile/requests/control_requests.py
@@ -65,6 +65,7 @@
         request = self.open.pop(tag, None)
         if request is None:
             return
+        self._timers.cancel(request.timeout_timer)
         self._counters[f"load_requests.{result.value}"] += 1
         elapsed_us = max(0, self._clock() - request.sent_us)
         self._decisions.handle(
@@ -79,6 +80,7 @@
         request = self.open.pop(tag, None)
         if request is None:
             return
+        self._timers.cancel(request.timeout_timer)
         self._counters[f"health_checks.{result.value}"] += 1
         self.on_health_check_result(request.worker, result)
         elapsed_us = max(0, self._clock() - request.sent_us)
@@ -90,8 +92,8 @@
         """Record a control request and set its timeout; return its tag."""
         tag = self._numbers.next()
         now = self._clock()
-        self.open[tag] = ControlRequest(worker, function, now)
-        self._timers.call_at(now + timeout_us, lambda: self._time_out(tag, ended))
+        timer = self._timers.call_at(now + timeout_us, lambda: self._time_out(tag, ended))
+        self.open[tag] = ControlRequest(worker, function, now, timer)
         return tag
 
     def _time_out(self, tag: int, ended: Callable[[int, Result], None]) -> None:
--- a/maplestile/requests/core.py
+++ b/maplestile/requests/core.py
@@ -29,7 +29,7 @@
 from maplestile.requests.request_intake import RequestIntake
 from maplestile.requests.request_table import RequestTable
 from maplestile.requests.runtime import Runtime
-from maplestile.requests.timers import Callback, TimerQueue
+from maplestile.requests.timers import Callback, Timer, TimerQueue
 from maplestile.wire.limits import Limits
 from maplestile.wire.messages import Outcome, Report, Request, Verdict
 
@@ -64,8 +64,9 @@
         self.call_at = timers.call_at
         self.tick = timers.run_due
         self.run_due_timers = timers.run_due_timers
-        self.decisions = DecisionLoop(Dispatcher(settings, seed), clock)
-        self.requests = RequestTable(settings.tick_us, clock, counters)
+        self._dispatcher_timers: dict[int, Timer] = {}  # by token
+        self.decisions = DecisionLoop(Dispatcher(settings, seed), clock, self._cancel_timer)
+        self.requests = RequestTable(settings.tick_us, clock, timers, counters)
         self.attempts = AttemptTable(self.requests, self.decisions, pool, self.epoch_counts, runtime)
         self.control = ControlRequests(self.decisions, pool, self.numbers, limits.control_requests, runtime)
         self.intake = RequestIntake(
@@ -133,7 +134,7 @@
     @property
     def timers(self) -> dict[int, list[Callback]]:
         """The callbacks of the timers, by the tick in which they are due."""
-        return self.timer_queue.callbacks
+        return {tick: list(callbacks.values()) for tick, callbacks in self.timer_queue.callbacks.items()}
 
     @property
     def ticks(self) -> list[int]:
@@ -237,7 +238,15 @@
 
     def _set_timer(self, action: api.SetTimer) -> None:
         token = action.token
-        self.call_at(action.due_us, lambda: self.decisions.handle(api.TimerFired(token)))
+
+        def fire() -> None:
+            self._dispatcher_timers.pop(token, None)
+            self.decisions.handle(api.TimerFired(token))
+
+        self._dispatcher_timers[token] = self.call_at(action.due_us, fire)
+
+    def _cancel_timer(self, token: int) -> None:
+        self.timer_queue.cancel(self._dispatcher_timers.pop(token, None))
 
     def _reject(self, action: api.RejectCall) -> None:
         self.counters["requests.rejected"] += 1
--- a/maplestile/requests/decision_loop.py
+++ b/maplestile/requests/decision_loop.py
@@ -13,8 +13,12 @@
 class DecisionLoop:
     """Passes events to the dispatcher one at a time, and carries out its actions in order."""
 
-    def __init__(self, dispatcher: Dispatcher, clock: Callable[[], int]) -> None:
+    def __init__(
+        self, dispatcher: Dispatcher, clock: Callable[[], int], cancel_timer: Callable[[int], None]
+    ) -> None:
+        """`cancel_timer` is called with the token of each timer that the dispatcher no longer needs."""
         self.dispatcher = dispatcher
+        self._cancel_timer = cancel_timer
         # A table, since each call causes several actions and a chain of type checks would slow down each one.
         # It is filled after construction, since the handlers' owners need this loop to pass on their events.
         self.handlers: ActionHandlers = {}
@@ -32,5 +36,7 @@
             while self._events:
                 for action in self.dispatcher.handle(self._clock(), self._events.popleft()):
                     self.handlers[type(action)](action)
+                for token in self.dispatcher.take_cancelled_timers():
+                    self._cancel_timer(token)
         finally:
             self._is_handling = False
--- a/maplestile/requests/records.py
+++ b/maplestile/requests/records.py
@@ -7,6 +7,7 @@
 
 from maplestile.dispatch.api import Result
 from maplestile.requests.states import CallState
+from maplestile.requests.timers import Timer
 from maplestile.wire.messages import Outcome, Request
 
 AttemptId = tuple[int, int]  # number of the request, and number of the attempt within it, from 0
@@ -86,6 +87,7 @@
     last_result: Result | None = None  # how the attempt that ended last did; None if none has ended
     may_have_run: bool = False  # an attempt may have run
     epoch: int = 0  # of the policy that it was accepted under
+    deadline_timer: Timer | None = None
 
 
 @dataclass(slots=True)
@@ -94,6 +96,7 @@
 
     worker: str
     sent_us: int
+    timeout_timer: Timer | None = None
 
 
 @dataclass(slots=True)
@@ -103,3 +106,4 @@
     worker: str
     function: str  # empty for a health check
     sent_us: int
+    timeout_timer: Timer | None = None
--- a/maplestile/requests/request_intake.py
+++ b/maplestile/requests/request_intake.py
@@ -76,7 +76,7 @@
             self._shed(call, exits_first, reason)
             return call
         self._epochs.current["calls"] += 1
-        self._timers.call_at(due_us, lambda: self._on_deadline(call))
+        pending.deadline_timer = self._timers.call_at(due_us, lambda: self._on_deadline(call))
         self._decisions.handle(_call_arrived(call, request, max(0, due_us - now)))
         return call
 
--- a/maplestile/requests/request_table.py
+++ b/maplestile/requests/request_table.py
@@ -5,6 +5,7 @@
 
 from maplestile.requests.records import PendingRequest, Presence
 from maplestile.requests.states import CallState, Transition
+from maplestile.requests.timers import TimerQueue
 from maplestile.wire.messages import Outcome, Verdict
 
 # A failure counts as an expired deadline if it comes in the last eighth of a request's time, or in the two
@@ -16,8 +17,11 @@
 class RequestTable:
     """The open requests by number, and the counts of final answers."""
 
-    def __init__(self, tick_us: int, clock: Callable[[], int], counters: Counter[str]) -> None:
+    def __init__(
+        self, tick_us: int, clock: Callable[[], int], timers: TimerQueue, counters: Counter[str]
+    ) -> None:
         self._tick_us = tick_us
+        self._timers = timers
         self._clock = clock
         self._transition = Transition(counters)
         self.open: dict[int, PendingRequest] = {}
@@ -34,6 +38,7 @@
         pending = self.open.pop(call, None)
         if pending is not None:
             self._transition(pending, CallState.WITHDRAWN)
+            self._timers.cancel(pending.deadline_timer)
             self.open_bytes -= pending.request.bytes()
         return pending
 
@@ -63,6 +68,7 @@
         if pending is None:
             return
         self._transition(pending, CallState.ANSWERED)
+        self._timers.cancel(pending.deadline_timer)
         self.open_bytes -= pending.request.bytes()
         self.answers[pending.request.class_name, outcome.verdict] += 1
         pending.answer(outcome)
--- a/maplestile/tools/explore/normal_form.py
+++ b/maplestile/tools/explore/normal_form.py
@@ -30,20 +30,33 @@
 DECIMALS = 6  # floats are rounded, since their last digits depend on the order of additions
 # Fields that are represented elsewhere in the normal form, or that affect no decision.
 IGNORED_FIELDS: dict[type, frozenset[str]] = {
-    RequestTable: frozenset(("_tick_us", "answers")),
+    RequestTable: frozenset(("_tick_us", "_timers", "answers")),
     AttemptTable: frozenset(("_counters", "on_repeated")),
     ControlRequests: frozenset(("_counters", "limits")),
     RequestIntake: frozenset(("_counters", "limits")),
     Context: frozenset(
-        ("settings", "actions", "classes", "random", "salt", "timers", "last_token", "now_us")
+        (
+            "settings",
+            "actions",
+            "classes",
+            "random",
+            "salt",
+            "timers",
+            "cancelled_timers",
+            "last_token",
+            "now_us",
+        )
     ),
     Fleet: frozenset(("index", "draining")),
     FunctionTiers: frozenset(("kind_memory_mb", "by_age")),
     FunctionEntry: frozenset(("salt", "preferred", "workers_with_copies", "settled")),
     Worker: frozenset(("salt",)),
-    Call: frozenset(("settings", "kind")),
+    Call: frozenset(("settings", "kind", "deadline_timer")),
+    Attempt: frozenset(("overdue_timer",)),
     Pool: frozenset(("limits", "clock", "counters", "transition", "core", "environment", "calls_written")),
-    PendingRequest: frozenset(("accepted_us", "first_attempt_us", "last_result")),
+    PendingRequest: frozenset(("accepted_us", "first_attempt_us", "last_result", "deadline_timer")),
+    InFlightAttempt: frozenset(("timeout_timer",)),
+    ControlRequest: frozenset(("timeout_timer",)),
     Runner: frozenset(("connections",)),
     Message: frozenset(("line", "request")),
     # `NormalForm.connection` represents the socket, the queue and the partly written line.
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -158,3 +158,37 @@
 def test_call_that_fails_with_an_unwritten_attempt_did_not_run() -> None:
     outcome, harness = fail_at_deadline(unwritten=True)
     assert not outcome.may_have_run and not harness.core.in_flight
+
+
+def test_ended_calls_leave_no_timers_in_memory() -> None:
+    """Guards against memory that grows with each call until the time that its client would have waited."""
+    harness = CoreHarness()
+    timers_before = sum(len(callbacks) for callbacks in harness.core.timers.values())
+    for number in range(500):
+        harness.submit(budget_us=600_000_000)
+        while harness.core.in_flight:
+            harness.core.attempt_ended(next(iter(harness.core.in_flight)), Result.OK, b"x")
+        if number % 2:
+            harness.core.withdraw(harness.submit("test-submit", budget_us=600_000_000))
+    for attempt in list(harness.core.in_flight):
+        harness.core.attempt_ended(attempt, Result.CANCELLED)
+    timers = sum(len(callbacks) for callbacks in harness.core.timers.values())
+    assert timers <= timers_before + 10
+    assert len(harness.core.dispatcher.context.timers) <= timers_before + 10
+    assert len(harness.core.ticks) < 200
+
+
+def test_cancelled_timer_does_not_run_and_one_that_has_run_is_ignored() -> None:
+    harness = CoreHarness()
+    ran = list[str]()
+    queue = harness.core.timer_queue
+    kept = queue.call_at(harness.now + 10_000, lambda: ran.append("kept"))
+    cancelled = queue.call_at(harness.now + 10_000, lambda: ran.append("cancelled"))
+    queue.cancel(cancelled)
+    harness.run(20_000)
+    assert ran == ["kept"]
+    for timer in (kept, cancelled, None):
+        queue.cancel(timer)
+    queue.call_at(harness.now + 10_000, lambda: ran.append("later"))
+    harness.run(20_000)
+    assert ran == ["kept", "later"]
