Functions that were forgotten leave memory, and their number has a bound by the memory

Cause, three in one: a function that left the tiers stayed in the heap of the single tier, as a current element of it, so every name ever called kept 1.4 KB for good; the number of functions followed from what callers say of the memory of a copy, so that a tiny figure allowed millions; and one function in use at the front of the single tier kept all others in it.

--- a/maplestile/requests/core.py
+++ b/maplestile/requests/core.py
@@ -73,6 +73,7 @@
             self.requests, self.attempts, self.decisions, self.numbers, self.epoch_counts, limits, runtime
         )
         self.decisions.handlers = self._action_handlers()
+        self.limits = limits
 
     # State, for other components to read.
 
@@ -85,6 +86,7 @@
     def limits(self, limits: Limits) -> None:
         self.intake.limits = limits
         self.control.limits = limits.control_requests
+        self.dispatcher.tiers.max_functions = limits.requests.functions
 
     @property
     def dispatcher(self) -> Dispatcher:
--- a/maplestile/wire/limits.py
+++ b/maplestile/wire/limits.py
@@ -19,6 +19,8 @@
 BASE_MEMORY_MB = 20.0  # least memory of a process before it has served any request
 CONNECTION_BYTES = 6 * KB  # memory of an open client connection that holds no input
 MIN_SPARE_MEMORY_MB = 4  # minimum memory for requests and unread answers, however little is available
+FUNCTIONS_SHARE = 3  # part of the spare memory for the functions that the dispatcher remembers
+FUNCTION_BYTES = 2_500  # memory of one of them, with its copies
 RECENT_IDS_SHARE = 32  # part of the spare memory for the ids of the latest requests
 RECENT_ID_BYTES = 32  # memory for each of them, twice as many being kept at times
 READS_AHEAD = 3  # socket reads that a stream may buffer
@@ -73,6 +75,7 @@
     open_bytes: int = 64 * MB  # memory of open requests: bodies, copies of them being sent, and records
     max_lag_us: int = 60_000  # from the arrival of a request to its handling; later ones are rejected
     max_retry_after_us: int = 1_000_000  # longest time after which a rejected client is told to retry
+    functions: int = 30_000  # functions that the dispatcher remembers
     recent_ids: int = 65_536  # ids of the latest requests that are remembered at least; a power of two
 
 
@@ -271,6 +274,7 @@
             requests=replace(
                 self.requests,
                 open_bytes=min(default.requests.open_bytes, spare_bytes // 3),
+                functions=min(default.requests.functions, spare_bytes // (FUNCTIONS_SHARE * FUNCTION_BYTES)),
                 recent_ids=min(default.requests.recent_ids, 1 << (recent_ids.bit_length() - 1)),
             ),
             runners=replace(self.runners, connections=runners),
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,8 +1,11 @@
 """Tests of the core: each request gets one answer, whatever results come late, twice or never."""
 
+import gc
+
 import pytest
 
 from maplestile.dispatch.api import Result
+from maplestile.dispatch.state import FunctionEntry
 from maplestile.wire.limits import HandoverLimits, Limits, RequestLimits
 from maplestile.wire.messages import Outcome, Request, Verdict
 from tests.core_harness import START_US, CoreHarness
@@ -192,3 +195,19 @@
     queue.call_at(harness.now + 10_000, lambda: ran.append("later"))
     harness.run(20_000)
     assert ran == ["kept", "later"]
+
+
+def test_functions_of_ever_new_names_do_not_stay_in_memory() -> None:
+    """Guards against memory that grows with each name, also if its calls tell that a copy takes no memory."""
+    harness = CoreHarness(Limits(requests=RequestLimits(functions=100)))
+    for number in range(2_000):
+        harness.now += 1_000
+        request = Request("t", f"f{number}", "review", 1_000_000, 1e-6, 1)
+        harness.core.submit(request, harness.now, harness.answers.append)
+        while harness.core.in_flight:
+            harness.core.attempt_ended(next(iter(harness.core.in_flight)), Result.OK, b"x")
+    functions = harness.core.dispatcher.tiers.functions
+    assert len(functions) <= 100
+    assert sum(len(worker.copies) for worker in harness.core.dispatcher.fleet.workers.values()) <= 200
+    alive = [entry for entry in gc.get_objects() if isinstance(entry, FunctionEntry)]
+    assert len([entry for entry in alive if entry.function.startswith("f")]) <= 110
--- a/tests/test_process_flood.py
+++ b/tests/test_process_flood.py
@@ -10,7 +10,10 @@
 from collections.abc import Callable, Iterator
 
 from tests.standins import Client, NameServer, Worker, start_router
+from tests.test_process_memory import LEAST_MEMORY_MB, peak_memory_mb
 
+FLOOD_S = 5.0
+OPEN_CALLS = 32  # that one connection may have
 PAUSE_S = 0.3  # of the router
 CATCH_UP_S = 0.5  # after the pause
 OTHER_CALLS = 40
@@ -28,6 +31,18 @@
     return encoded({"jsonrpc": "2.0", "id": number, "method": "check"})
 
 
+def call_of_new_function(number: int) -> bytes:
+    """Return a sound call of a function that was never called before, and that its client waits long for."""
+    params = {
+        "txn": os.urandom(8).hex(),
+        "limit": 600_000,
+        "item": f"{number:016x}",
+        "info": "memory_mb:0.000001;lanes:1",
+        "blob": "eA==",
+    }
+    return encoded({"jsonrpc": "2.0", "id": number, "method": "review", "params": params})
+
+
 class Flood(threading.Thread):
     """A client that sends all the time, on a new connection whenever the router closes one."""
 
@@ -71,7 +86,9 @@
         self.names = NameServer()
         self.addCleanup(self.names.socket.close)
         self.worker = Worker()
-        self.program = start_router([self.worker], self.names)
+        self.program = start_router(
+            [self.worker], self.names, limits={"sockets": 256, "memory_mb": LEAST_MEMORY_MB}
+        )
         self.addCleanup(self.program.kill)
         self.port = self.program.port("platform")
         Client(self.port).call_until_served("review", b"first")
@@ -106,3 +123,15 @@
             time.sleep(CATCH_UP_S)
             served = self.served_calls(OTHER_CALLS)
         self.assertGreater(served, OTHER_CALLS // 2)
+
+    def test_calls_under_ever_new_names_do_not_exceed_the_least_memory(self) -> None:
+        """Guards against records of names, and timers of answered calls, that stay in memory."""
+        with self.flooded(call_of_new_function, OPEN_CALLS) as flood:
+            until_s = time.monotonic() + FLOOD_S
+            served = 0
+            while time.monotonic() < until_s:
+                served += self.served_calls(1)
+        self.assertIsNone(self.program.process.poll())
+        self.assertGreater(flood.sent, 1_000)
+        self.assertGreater(served, 0)
+        self.assertLessEqual(peak_memory_mb(self.program), LEAST_MEMORY_MB)
