Unread answers of closing connections count towards the limit of all clients

Cause: a connection that its client ends with answers unread is flushed for up to 4 s with up to 4 MiB, and no longer counted towards the 16 MiB of all clients; each crowd that ended in this way began with the whole limit free. Change: the limit counts both, and the one that has read nothing for the longest time is closed, whichever it is.

--- a/maplestile/net/answer_writer.py
+++ b/maplestile/net/answer_writer.py
@@ -33,7 +33,7 @@
 
     def _longest_blocked_client(self, now_us: int) -> Client:
         """Return the client that has read nothing for the longest time, regardless of its unread bytes."""
-        blocked = (client for client in self.table.clients if client.unsent_bytes(now_us))
+        blocked = (client for client in self.table.all_connections() if client.unsent_bytes(now_us))
         return min(blocked, key=lambda client: client.unread_since_us)
 
     def _disconnect(self, client: Client) -> None:
--- a/maplestile/net/client_table.py
+++ b/maplestile/net/client_table.py
@@ -1,8 +1,9 @@
 """Keeps the client connections of the platform front, and evicts idle ones at the connection limit."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from enum import IntEnum
+from itertools import chain
 
 from maplestile.net.client import Client
 from maplestile.wire.limits import Limits
@@ -44,7 +45,11 @@
     def unsent_bytes(self) -> int:
         """Return how many bytes of answers to all clients the kernel has not accepted yet."""
         now_us = self.clock()
-        return sum(client.unsent_bytes(now_us) for client in self.clients)
+        return sum(client.unsent_bytes(now_us) for client in self.all_connections())
+
+    def all_connections(self) -> Iterator[Client]:
+        """Yield the connections whose answers take memory: the open ones, and those that are flushed."""
+        return chain(self.clients, self.flushing)
 
     def evict_idle(self) -> bool:
         """Close one connection without a pending request or unread input; return whether there was one.
