A head of over 100 fields is answered with 431 on the HTTP fronts, and less is read ahead

A head of 16 KB may hold 3,000 short fields, which take about a megabyte as h11 gives them, and are kept while the body comes: 16 MB at the operators' front, more at the invoke front. It now gets 431 at once. Input of a client that sends on while its request is handled is read to 64 KB, no longer to 256 KB (300 connections). The new test failed before (no 431).

--- a/maplestile/net/http_connection.py
+++ b/maplestile/net/http_connection.py
@@ -15,7 +15,8 @@
 log = logging.getLogger("maplestile.net.http")
 READ_BYTES = 16_384
 MAX_HEAD_BYTES = 16_384
-MAX_PIPELINED_BYTES = 262_144
+MAX_HEAD_FIELDS = 100  # each takes some 300 bytes of memory, however short it is
+MAX_PIPELINED_BYTES = 65_536
 MAX_LENGTH_DIGITS = 18  # digits in a Content-Length header
 WRITE_TIMEOUT_S = 10.0
 NO_CONTENT = 204
@@ -25,6 +26,10 @@
     """The body of a request is over the limit; the rest of it is not read."""
 
 
+class TooManyFields(Exception):
+    """The head of a request has too many fields; its body is not read."""
+
+
 class TooSlow(Exception):
     """A request has started but was not complete in time."""
 
@@ -80,6 +85,11 @@
                 detail = f"the body is over {self.front.bounds.body_bytes} bytes"
                 await self._refuse(problem(413, detail))
                 return
+            except TooManyFields:
+                self.front.count("malformed")
+                log.warning("%s client: a head of too many fields; closing the connection", self.front.name)
+                await self._refuse(problem(431, f"the head has over {MAX_HEAD_FIELDS} fields"))
+                return
             except TooSlow:
                 self.front.count("too_slow")
                 log.warning(
@@ -108,11 +118,13 @@
     async def _read_request(self) -> HttpRequest | None:
         """Return the next request, or None if the client has closed the connection.
 
-        Raises TooLarge, and what `_next_event` raises.
+        Raises TooLarge, TooManyFields, and what `_next_event` raises.
         """
         head = await self._next_event()
         if not isinstance(head, h11.Request):
             return None
+        if len(head.headers) > MAX_HEAD_FIELDS:
+            raise TooManyFields
         max_body_bytes = self.front.bounds.body_bytes
         length = dict(head.headers).get(b"content-length", b"0")  # digits, as h11 has checked
         if len(length) > MAX_LENGTH_DIGITS or int(length) > max_body_bytes:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -37,6 +37,19 @@
         server.close()
         self.assertEqual(counters["invoke.too_slow"], 1)
 
+    async def test_head_of_very_many_short_fields_gets_431_before_its_body_is_read(self) -> None:
+        """Guards against heads of 16 KB whose thousands of fields take a megabyte each while a body comes."""
+        counters = Counter[str]()
+        api = SimpleNamespace(bounds=FrontLimits(2, 60.0, 10_000_000, 100, 100_000, 16))
+        server = await HttpFront("invoke", cast(Application, api), counters, lambda: 0).start("127.0.0.1", 0)
+        async with asyncio.timeout(PATIENCE_S):
+            reader, writer = await asyncio.open_connection(*server.address)
+            writer.write(b"PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n" + b"a:b\r\n" * 2_000 + b"\r\n")
+            self.assertTrue((await reader.read()).startswith(b"HTTP/1.1 431 "))
+            writer.close()
+        server.close()
+        self.assertEqual(counters["invoke.malformed"], 1)
+
     async def test_request_that_crosses_graceful_close_is_not_handled(self) -> None:
         """One connection is idle and one has half a request; the rest arrives after the close."""
         handled = list[object]()
