A keyed call of a zone or cell is not sent again to the address under which its connection broke

What callers saw: work went to a process that had come up at the address of one that had gone, and ran twice. Cause: one broken connection says little about a worker, so a call was sent there once more. Where the worker's process has ended, a process of another zone or cell may have its address before the name server tells; it knows nothing of the key. Under a scope of all workers any of them drops the repeat, and calls that may not repeat were never sent again. Evidence, real processes, 2026-12-05: where a worker's process was replaced under a keyed call, the second process got and served it; a worker of another cell, started at the address of one that died, got the keyed call before the list told of it. Both tests failed before and hold now. Change: RetryPolicy.may_repeat allows the second try at the same worker only to calls that any worker may repeat. Other workers of the group still get it.

--- a/maplestile/dispatch/retry.py
+++ b/maplestile/dispatch/retry.py
@@ -42,9 +42,9 @@
             if attempt.worker is worker and attempt.result not in RETRYABLE_AT_SAME_WORKER
         ]
         # One broken connection says little about the worker, so it may be tried once more.
-        was_tried_there = results and results != [Result.RESET]
+        may_try_again = results == [Result.RESET] and not _is_bound_to_a_group(call)
         if (
-            was_tried_there
+            (results and not may_try_again)
             or len(call.attempts) >= call.settings.max_attempts
             or not self.fleet.is_running(worker)
         ):
@@ -72,3 +72,12 @@
         else:
             in_scope = scope is DeduplicationScope.ALL or first.cell == target.cell != UNKNOWN_CELL
         return in_scope and self.context.now_us + call.settings.tick_us < call.dedup_until_us()
+
+
+def _is_bound_to_a_group(call: Call) -> bool:
+    """Return whether only some workers drop a repeat of the call, those of one zone or cell.
+
+    A process whose connection broke may have ended, and one of another group may have its address by now.
+    """
+    is_keyed = call.call_class.idempotency is Idempotency.WITH_KEY
+    return is_keyed and call.call_class.deduplication_scope is not DeduplicationScope.ALL
--- a/tests/standins/name_server.py
+++ b/tests/standins/name_server.py
@@ -41,6 +41,7 @@
         self.port: int = self.socket.getsockname()[1]
         self.serial, self.workers = 1, list[tuple[str, int, int]]()  # uid, port, priority
         self.started: dict[str, int] = {}  # Unix milliseconds of each worker's start, by uid; 0 if missing
+        self.cells: dict[str, int] = {}  # by uid; 2 if missing
         self.weights: dict[str, int] = {}  # in the SRV records, by uid; `USUAL_WEIGHT` if missing
         self.faults: list[str] = []
         self.queries = 0
@@ -76,7 +77,11 @@
             host_name = name_bytes(f"{uid}.east.hosts")
             weight = self.weights.get(uid, USUAL_WEIGHT)
             answers += record(SAME_NAME, SRV, struct.pack("!3H", priority, weight, port) + host_name)
-            txt_strings = b"kind=std", b"cell=2", b"started=%d" % self.started.get(uid, 0)
+            txt_strings = (
+                b"kind=std",
+                b"cell=%d" % self.cells.get(uid, 2),
+                b"started=%d" % self.started.get(uid, 0),
+            )
             additional += record(host_name, A, bytes([127, 0, 0, 1]))
             additional += record(host_name, TXT, b"".join(bytes([len(text)]) + text for text in txt_strings))
         soa = record(SAME_NAME, SOA, b"\0\0" + struct.pack("!5I", self.serial, 0, 0, 0, 0))
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -27,8 +27,8 @@
     Any other body is sent back reversed. `ran` lists the calls that were run, `lines` all messages.
     """
 
-    def __init__(self) -> None:
-        self.listener = socket.create_server(("127.0.0.1", 0))
+    def __init__(self, port: int = 0) -> None:
+        self.listener = socket.create_server(("127.0.0.1", port))
         self.port: int = self.listener.getsockname()[1]
         self.ran: list[dict[str, Any]] = []
         self.lines: list[dict[str, Any]] = []
