Invocation records and waiting callers that have gone leave no timers in memory

Change: the timer of a record is cancelled as the record is dropped, that of a waiting caller as it is answered or leaves. The new test failed before in kind: the store had no way to cancel (100 dropped records left 100 timers). The tests of the store run on a real timer queue now.

--- a/maplestile/invoke/api.py
+++ b/maplestile/invoke/api.py
@@ -58,7 +58,9 @@
         self.core = core
         self.operator = operator
         self.counters = counters
-        self.store = InvocationStore(operator.records, operator.record_us, core.call_at, counters, journal)
+        self.store = InvocationStore(
+            operator.records, operator.record_us, core.timer_queue, counters, journal
+        )
         self.in_flight: Counter[str] = Counter()  # open calls by tenant
         self.bounds = self._bounds()
 
@@ -154,12 +156,28 @@
         if record.answer is not None:
             respond(self.store.deliver(record))
             return do_nothing
-        record.waiters.append(respond)
         due_us = invocation.received_us + invocation.budget_us
         if due_us < record.deadline_us:  # a repeat that gives less time than the first caller
-            self.core.call_at(due_us, lambda: self._expire_waiter(record, respond))
+            return self._wait_until(record, respond, due_us)
+        record.waiters.append(respond)
         return lambda: self._remove_waiter(record, respond)
 
+    def _wait_until(self, record: InvocationRecord, respond: Respond, due_us: int) -> CancelCall:
+        """Let a caller wait for the answer of a record, until its own deadline at the latest."""
+        timers = self.core.timer_queue
+        timer = timers.call_at(due_us, lambda: self._expire_waiter(record, respond_in_time))
+
+        def respond_in_time(response: Response) -> None:
+            timers.cancel(timer)
+            respond(response)
+
+        def cancel() -> None:
+            timers.cancel(timer)
+            self._remove_waiter(record, respond_in_time)
+
+        record.waiters.append(respond_in_time)
+        return cancel
+
     def _invoke_unrecorded(self, invocation: InvocationRequest, respond: Respond) -> CancelCall:
         """Run a call that needs no record: it is not deferred and has no idempotency key."""
         tenant = invocation.tenant
--- a/maplestile/invoke/store.py
+++ b/maplestile/invoke/store.py
@@ -12,12 +12,11 @@
 
 from maplestile.invoke.record_events import KeyScope, StoredInvocation
 from maplestile.invoke.record_journal import RecordJournal
+from maplestile.requests.timers import Timer, TimerQueue
 from maplestile.wire.http import Response, problem
 
 FIRST_ERROR_STATUS = 400  # HTTP statuses from here on are errors
 
-Timer = Callable[[int, Callable[[], object]], object]  # calls a function at a time of the core's clock
-
 
 @dataclass(slots=True, eq=False)
 class InvocationRecord:
@@ -32,6 +31,7 @@
     delivered: bool = False  # the answer was sent to at least one caller
     deferred: bool = False  # the answer is collected later, by any caller that knows the id
     abandoned: bool = False  # every caller that waited for the answer has disconnected
+    timer: Timer | None = None  # of its deadline, then of its removal
     waiters: list[Callable[[Response], None]] = field(default_factory=list)  # callbacks of waiting callers
 
 
@@ -42,7 +42,7 @@
         self,
         max_records: int,
         retention_us: int,
-        call_at: Timer,
+        timers: TimerQueue,
         counters: Counter[str],
         journal: RecordJournal | None = None,
     ) -> None:
@@ -51,7 +51,7 @@
         self.records: dict[str, InvocationRecord] = {}
         self.by_scope: dict[KeyScope, InvocationRecord] = {}
         self.journal = journal  # None if records are lost with the process
-        self._call_at = call_at
+        self._timers = timers
         self._counters = counters
 
     def is_full(self) -> bool:
@@ -77,10 +77,11 @@
         self.records[record.id] = record
         if record.scope is not None:
             self.by_scope[record.scope] = record
-        self._call_at(record.deadline_us, lambda: self.expire(record))
+        record.timer = self._timers.call_at(record.deadline_us, lambda: self.expire(record))
 
     def drop(self, record: InvocationRecord) -> None:
         """Remove a record, so that its idempotency key may be used again."""
+        self._timers.cancel(record.timer)
         if self.records.pop(record.id, None) is not None and self.journal is not None:
             self.journal.drop(record.id)
         if record.scope is not None and self.by_scope.get(record.scope) is record:
@@ -134,7 +135,8 @@
             self._counters["invoke.lapsed"] += 1
             self._set_answer(record, _expired_answer(record))
             self._deliver_to_waiters(record)
-        self._call_at(record.deadline_us + self.retention_us, lambda: self.drop(record))
+        removed_us = record.deadline_us + self.retention_us
+        record.timer = self._timers.call_at(removed_us, lambda: self.drop(record))
 
 
 def _expired_answer(record: InvocationRecord) -> Response:
--- a/tests/test_invocation_store.py
+++ b/tests/test_invocation_store.py
@@ -1,35 +1,36 @@
 """Tests of the store of invocation records."""
 
 from collections import Counter
-from collections.abc import Callable
-from typing import NamedTuple
 
 from maplestile.invoke.record_events import KeyScope
 from maplestile.invoke.store import InvocationRecord, InvocationStore
+from maplestile.requests.timers import TimerQueue
 from maplestile.wire.http import Response
 
 
-class Timer(NamedTuple):
-    """A callback that the store has scheduled, and its time in microseconds."""
-
-    due_us: int
-    callback: Callable[[], object]
-
-
 class StoreOnManualClock:
     """A store of invocation records whose timers run only in `advance_to`."""
 
     def __init__(self) -> None:
-        self.timers: list[Timer] = []
-        self.store = InvocationStore(
-            2, 50, lambda due_us, callback: self.timers.append(Timer(due_us, callback)), Counter()
-        )
+        self.now_us = 0
+        self.timers = TimerQueue(1, lambda: self.now_us, lambda _due_us: None)
+        self.store = InvocationStore(2, 50, self.timers, Counter())
 
     def advance_to(self, now_us: int) -> None:
-        """Run the timers that are due at this time, in the order in which they were set."""
-        while due := [timer for timer in self.timers if timer.due_us <= now_us]:
-            self.timers.remove(due[0])
-            due[0].callback()
+        """Run the timers that are due at this time, also those that they set."""
+        self.now_us = now_us
+        while self.timers.ticks and self.timers.ticks[0] <= now_us:
+            self.timers.run_due()
+
+
+def test_dropped_record_leaves_no_timer_in_memory() -> None:
+    """Guards against records, with their answers, that stay in memory until deadlines of minutes."""
+    fixture = StoreOnManualClock()
+    for number in range(100):
+        record = InvocationRecord(f"{number}", None, b"", 600_000_000)
+        fixture.store.add(record)
+        fixture.store.drop(record)
+    assert not fixture.timers.callbacks
 
 
 def test_delivered_answer_stays_and_uncollected_result_is_failed() -> None:
