--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -1,10 +1,16 @@
 """Tests of the framers and codecs of all protocols, with input in pieces of any size."""
 
+import base64
 import json
 import logging
+import string
 import struct
+from collections.abc import Callable
+from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from maplestile.common import logs
 from maplestile.dispatch import api
@@ -204,3 +210,54 @@
         entry = api.WorkerEntry("s-1", "east", "std", 0, api.WorkerState.RUNNING, weight, 0)
         assert endpoints.apply_list(1, [(entry, ("127.0.0.1", 9))])
         assert 0 < endpoints.entries["s-1"].weight < 1
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner, max_size=3),
+    max_leaves=5,
+)
+# What each field of a call may be; any other JSON value is unsound.
+SOUND_VALUES: dict[str, Callable[[Any], bool]] = {
+    "txn": lambda value: isinstance(value, str) and len(value) == 16 and set(value) <= set(string.hexdigits),
+    "limit": lambda value: is_number(value) and 0.001 <= value <= 600_000,
+    "team": lambda value: value == "acme",
+    "second": lambda value: value is None or value in (1, "1"),
+    "cpu": lambda value: is_number(value) and 0 <= value < 1e9,
+    "blob": lambda value: isinstance(value, str) and is_base64(value),
+}
+
+
+def is_number(value: object) -> bool:
+    """Return whether a JSON value is a number."""
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
+def is_base64(text: str) -> bool:
+    """Return whether a text is base64 with padding."""
+    try:
+        base64.b64decode(text.encode("ascii"), validate=True)
+    except ValueError:
+        return False
+    return True
+
+
+@pytest.mark.parametrize("field", SOUND_VALUES)
+@given(value=JSON_VALUES)
+def test_field_of_another_form_is_never_accepted(field: str, value: object) -> None:
+    """Guards against unsound requests that are sent on and served, whatever value a field has."""
+    if SOUND_VALUES[field](value):
+        return
+    with pytest.raises(jsonrpc.RpcError):
+        jsonrpc.parse(memoryview(message("review", **{field: value})), MessageLimits(), KNOWN)
+
+
+@given(value=JSON_VALUES)
+def test_envelope_of_another_form_is_never_accepted(value: object) -> None:
+    call = json.loads(message())
+    for member in ("jsonrpc", "id", "method", "params"):
+        is_sound = member == "id" and type(value) is int and 1 <= value < 1 << 63
+        if is_sound or value == "2.0":
+            continue
+        with pytest.raises(jsonrpc.RpcError):
+            jsonrpc.parse(memoryview(json.dumps(call | {member: value}).encode()), MessageLimits(), KNOWN)
