Soak: crowds of bad clients, whose requests are unsound, incomplete, floods, or used before

A trial draws them beside its other disturbances, so each seed plays another schedule than before; an unsound request that is served breaks a rule, and an id that comes again counts as a duplicate as before.

--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -68,4 +68,5 @@
     drains: list[Drain] = field(default_factory=list)
     ends: list[ProcessEnd] = field(default_factory=list)
     unexpected_answers: list[str] = field(default_factory=list)
+    served_unsound: list[str] = field(default_factory=list)  # results of requests of bad clients
     longest_stall_s: float = 0.0  # for how long the event loop of the stand-ins stood still at most
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -21,6 +21,7 @@
         by_tag[arrival.tag].append(arrival)
     slack_s = record.longest_stall_s
     lines = [f"second answer: {text}" for text in record.unexpected_answers]
+    lines += [f"lost: an unsound request was served: {text}" for text in record.served_unsound]
     for request in record.requests.values():
         arrivals = by_tag[request.tag]
         lines += _lost(request, slack_s)
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -56,7 +56,15 @@
     clients: int
 
 
-Disturbance = ClockStep | Signals | WorkerFault | WorkerDrain | Crowd
+@dataclass(frozen=True)
+class BadClients:
+    """Clients that connect to a router at once, and send what is unsound, incomplete or used before."""
+
+    router: int
+    clients: int
+
+
+Disturbance = ClockStep | Signals | WorkerFault | WorkerDrain | Crowd | BadClients
 
 
 @dataclass(frozen=True)
@@ -81,7 +89,7 @@
     router = source.randrange(routers)
     worker = source.randrange(workers)
     match source.choices(
-        ("clock", "signals", "stop", "reset", "silent", "drain", "crowd"), (9, 3, 2, 3, 2, 1, 2)
+        ("clock", "signals", "stop", "reset", "silent", "drain", "crowd", "bad"), (9, 3, 2, 3, 2, 1, 2, 4)
     )[0]:
         case "clock":
             return ClockStep(router, source.choice((-1, 1)) * source.choice(CLOCK_STEPS_S))
@@ -95,5 +103,7 @@
             return WorkerFault(worker, source.uniform(0.2, 2.5))
         case "drain":
             return WorkerDrain(worker, source.uniform(2.5, 5.0))
+        case "bad":
+            return BadClients(router, source.randrange(5, 40))
         case _:
             return Crowd(router, source.randrange(20, 60))
--- a/tests/soak/trial.py
+++ b/tests/soak/trial.py
@@ -13,6 +13,7 @@
 from tests.shims import failing_calls
 from tests.shims.stepped_clock import SteppedClock
 from tests.soak import schedule, settings
+from tests.soak.bad_clients import be_a_bad_client
 from tests.soak.clients import SoakConnection, come_in_a_crowd, send_all_the_time
 from tests.soak.records import Drain, ProcessEnd, TrialRecord
 from tests.soak.workers import SoakWorker
@@ -123,6 +124,11 @@
                     self.workers[worker].reset_connections()
             case schedule.WorkerDrain(worker, seconds):
                 self._spawn(self._drain(worker, seconds))
+            case schedule.BadClients(router, clients):
+                slot = self.slots[router]
+                for number in range(clients):
+                    source = random.Random(f"{self.seed} bad {router} {len(self.connections)} {number}")
+                    self._spawn(be_a_bad_client(slot.port, slot.name, source, self.record))
             case schedule.Crowd(router, clients):
                 for number in range(clients):
                     source = random.Random(f"{self.seed} {router} {len(self.connections)} {number}")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -102,3 +102,9 @@
 
     connection = asyncio.run(connect_late())
     assert connection.ended and not connection.has_sent
+
+
+def test_served_unsound_request_breaks_a_rule() -> None:
+    assert broken_rules(TrialRecord(served_unsound=["r0.1: {}"])) == [
+        "lost: an unsound request was served: r0.1: {}"
+    ]
