Lines behind a write that has failed go by another connection, and do not count as run

Cause: between the reset of a connection to a runner and the turn in which it is read, lines were written to the lost transport, which drops them in silence, and counted as written: their attempts ended as reset, so calls that may not repeat failed and keyed ones used up their repeat. Change: a write to a transport that is closing is not accepted; the lines behind it wait and go by another connection. The first one still counts as begun. The new test failed before (8 of 8 ended as reset) and holds now (the first at most).

--- a/maplestile/net/runners.py
+++ b/maplestile/net/runners.py
@@ -31,9 +31,11 @@
     def write(self, line: bytes) -> bool:
         """Write a line, and return whether the kernel accepted all of it.
 
-        If not, the pool is notified once it has.
+        If not, the pool is notified once it has, or closes the connection if that is lost.
         """
         self.writer.write(line)
+        if self.writer.transport.is_closing():  # the write has failed, which the reading task learns next
+            return False
         if not self.has_unwritten_data():
             return True
         start_task(self._drain())
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -1,6 +1,8 @@
 """Tests of the runner pool over real sockets, between a core that only records and a fake worker."""
 
 import errno
+import socket
+import time
 import unittest
 import unittest.mock
 from collections import Counter
@@ -14,9 +16,10 @@
 from maplestile.requests.endpoint_list import EndpointList
 from maplestile.wire.limits import RunnerLimits
 from maplestile.wire.messages import Request
-from tests.standins import Worker, wait_until
+from tests.standins import Worker, reset_on_close, wait_until
 
 BUDGET_US = 5_000_000
+SETTLE_S = 0.1  # in which a reset arrives
 OVER_ALL_BUFFERS = 30_000_000  # bytes; more than the socket buffers hold while the peer reads nothing
 
 
@@ -113,6 +116,22 @@
         self.assertEqual(connection.stream_count(), 0)
         self.assertNotIn("states.invalid_transitions", self.counters)
 
+    async def test_lines_behind_a_reset_that_is_not_read_yet_go_by_another_connection(self) -> None:
+        """Guards against attempts that count as written, and as run perhaps, on a connection that is lost."""
+        self.pool.limits = replace(self.pool.limits, streams=32)
+        self.send(1, b"x")
+        await self.wait_until_ended(1)
+        (peer,) = self.worker.open
+        reset_on_close(peer)
+        peer.shutdown(socket.SHUT_RD)  # ends the worker's thread for it
+        peer.close()
+        time.sleep(SETTLE_S)  # blocks the event loop, which does not learn of the reset
+        for number in range(2, 10):
+            self.send(number, b"x")
+        await self.wait_until_ended(*range(2, 10))
+        results = [self.core.ended[number, 0] for number in range(2, 10)]
+        self.assertEqual(results[1:], 7 * [Result.OK])  # the first one may have begun
+
     async def test_attempt_without_a_free_descriptor_ends_as_superseded(self) -> None:
         """Client connections hold all descriptors: one must be closed, and the runner is not to blame."""
         no_descriptor_reports = list[int]()
