A successor that had to wait for its turn still waits for the predecessor's ids

Found on reading the exchange of ids again: the second that a successor waits for its predecessor's ids began as it started, so a third process, which waits for the second to take over first, would not have waited at all. It begins now once the process could serve otherwise.

--- a/maplestile/router/takeover.py
+++ b/maplestile/router/takeover.py
@@ -21,6 +21,7 @@
         self.components = components
         self.readiness = readiness
         self.handover = handover
+        self._wait_for_ids_until_us = 0  # 0 before it waits
 
     async def wait_until_may_serve(self) -> None:
         """Return once this process may accept clients, or is asked to stop.
@@ -35,8 +36,7 @@
             self.components.name,
             handover.stage.value,
         )
-        wait_for_ids_until_us = clock() + IDS_WAIT_US
-        await poll_until(lambda: self._may_take_clients() and self._has_ids(wait_for_ids_until_us))
+        await poll_until(lambda: self._may_take_clients() and self._has_ids())
 
     async def run(self) -> None:
         """Observe the other process at regular intervals until cancelled."""
@@ -75,12 +75,14 @@
             exchange.share(is_successor=not self.handover.is_alone)
             exchange.collect()
 
-    def _has_ids(self, wait_until_us: int) -> bool:
+    def _has_ids(self) -> bool:
         """Return whether the ids of the predecessor's requests are known, or were waited for long enough."""
         exchange = self.components.id_exchange
         if exchange is None or self.components.stopping.is_set() or self.handover.is_alone:
             return True
-        return clock() >= wait_until_us or (exchange.is_sharing and exchange.has_predecessors_ids())
+        self._wait_for_ids_until_us = self._wait_for_ids_until_us or clock() + IDS_WAIT_US
+        is_late = clock() >= self._wait_for_ids_until_us
+        return is_late or (exchange.is_sharing and exchange.has_predecessors_ids())
 
     def _poll_locks(self) -> None:
         """Announce that this process can serve, once it can, and poll the handover locks."""
