Incomplete answers of all runners together have a bound, cut from the memory left

Change: a connection whose answer stays incomplete while all hold more than a quarter of the spare memory (16 MB at most, with room for four of the longest answers) is closed as one with a malformed line. The new test failed before in kind: nothing counted them.

--- a/maplestile/net/runners.py
+++ b/maplestile/net/runners.py
@@ -68,6 +68,7 @@
     def __init__(self, limits: RunnerLimits, clock: Callable[[], int], counters: Counter[str]) -> None:
         super().__init__(limits, clock, counters)
         self.tasks: dict[Connection, asyncio.Task[None]] = {}
+        self.incomplete_bytes = 0  # of incomplete answers on all connections
         self.on_no_descriptor: Callable[[], object] = lambda: None  # called if no file descriptor is free
 
     def dial(self, connection: Connection) -> None:
@@ -119,12 +120,20 @@
         Raises LineError for a malformed line, and OSError if the connection breaks.
         """
         lines = wire.LineFramer(self.limits.line_bytes)
-        while data := await self._read(reader, lines):
-            self.input_received(connection)
-            for line in lines.feed(data):
-                self.answer_received(connection, wire.parse(line))
-                self.core.run_due_timers()
-            self.input_handled(connection)
+        held_bytes = 0  # of an incomplete answer, as counted in `self.incomplete_bytes`
+        try:
+            while data := await self._read(reader, lines):
+                self.input_received(connection)
+                for line in lines.feed(data):
+                    self.answer_received(connection, wire.parse(line))
+                    self.core.run_due_timers()
+                self.incomplete_bytes += len(lines.incomplete) - held_bytes
+                held_bytes = len(lines.incomplete)
+                if held_bytes and self.incomplete_bytes > self.limits.incomplete_bytes:
+                    raise wire.LineError("incomplete answers of all runners take too much memory")
+                self.input_handled(connection)
+        finally:
+            self.incomplete_bytes -= held_bytes
 
     async def _read(self, reader: asyncio.StreamReader, lines: wire.LineFramer) -> bytes:
         """Return the next input, empty at the end of the stream.
--- a/maplestile/wire/limits.py
+++ b/maplestile/wire/limits.py
@@ -26,6 +26,8 @@
 READS_AHEAD = 3  # socket reads that a stream may buffer
 READ_AHEAD_SHARE = 4  # part of the spare memory for what the streams of all clients buffer
 ANSWER_BYTES = 230_000  # longest body of a runner's answer
+LINE_BYTES = 4 * ANSWER_BYTES // 3 + 4 * KB  # the longest answer in base64, and its head
+MIN_INCOMPLETE_ANSWERS = 4  # of the longest ones that have room at once, however little memory there is
 
 
 @dataclass(slots=True, frozen=True)
@@ -124,7 +126,8 @@
     min_learned_idle_us: int = 50_000
     # Time without a broken connection after which the learned timeout doubles.
     learned_idle_recovery_us: int = 5_000_000
-    line_bytes: int = 4 * ANSWER_BYTES // 3 + 4 * KB  # the longest answer in base64, and its head
+    line_bytes: int = LINE_BYTES
+    incomplete_bytes: int = 16 * MB  # incomplete answers on all connections together
     # Longest pause between two pieces of one answer: a tenth of the shortest latency objectives, and far
     # longer than a pause of the network.
     line_pause_us: int = 250_000
@@ -277,5 +280,12 @@
                 functions=min(default.requests.functions, spare_bytes // (FUNCTIONS_SHARE * FUNCTION_BYTES)),
                 recent_ids=min(default.requests.recent_ids, 1 << (recent_ids.bit_length() - 1)),
             ),
-            runners=replace(self.runners, connections=runners),
+            runners=replace(
+                self.runners,
+                connections=runners,
+                incomplete_bytes=max(
+                    MIN_INCOMPLETE_ANSWERS * LINE_BYTES,
+                    min(default.runners.incomplete_bytes, spare_bytes // 4),
+                ),
+            ),
         )
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -132,6 +132,24 @@
         results = [self.core.ended[number, 0] for number in range(2, 10)]
         self.assertEqual(results[1:], 7 * [Result.OK])  # the first one may have begun
 
+    async def test_incomplete_answers_of_all_connections_are_limited(self) -> None:
+        """Guards against answers that stop half way, which are limited for each connection alone."""
+        part = b"raw:" + b'{"kind":"200","call":"TAG","bytes":"' + b"A" * 6_000
+        self.pool.limits = replace(
+            self.pool.limits, streams=1, incomplete_bytes=10_000, line_pause_us=60_000_000
+        )
+        self.send(1, part)
+        await wait_until(lambda: self.pool.incomplete_bytes > 6_000)
+        self.send(2, part)
+        await self.wait_until_ended(2)
+        self.assertEqual((self.core.ended, self.counters["runners.malformed"]), ({(2, 0): Result.RESET}, 1))
+        self.send(3, b"x")
+        await self.wait_until_ended(3)
+        self.assertEqual(self.core.ended[3, 0], Result.OK)
+        self.worker.die()
+        await self.wait_until_ended(1)
+        self.assertEqual(self.pool.incomplete_bytes, 0)
+
     async def test_attempt_without_a_free_descriptor_ends_as_superseded(self) -> None:
         """Client connections hold all descriptors: one must be closed, and the runner is not to blame."""
         no_descriptor_reports = list[int]()
