A socket that does not tell whether it listens no longer ends the start of a router

Every other such question (TCP_INFO, queue sizes) does without an answer; so does this one now, and the socket counts as one that does not listen. The new test failed before.

--- a/maplestile/net/receive_timestamps.py
+++ b/maplestile/net/receive_timestamps.py
@@ -1,5 +1,6 @@
 """Records the earliest time at which input can have arrived, since a busy event loop reads it later."""
 
+import contextlib
 import selectors
 import socket
 import time
@@ -42,7 +43,7 @@
     def register(self, fileobj: "FileDescriptorLike", events: int, data: Any = None) -> selectors.SelectorKey:
         """Register a file object, and remember whether it is a listening socket."""
         key = super().register(fileobj, events, data)
-        if isinstance(fileobj, socket.socket) and fileobj.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        if _is_listening(fileobj):
             self._listening_descriptors.add(key.fd)
         return key
 
@@ -115,3 +116,12 @@
         # That applies to the input of new connections as well.
         self.earliest_event_us = self._paused_since_us or (now_us if waited else self._returned_us)
         self._returned_us = now_us
+
+
+def _is_listening(fileobj: "FileDescriptorLike") -> bool:
+    """Return whether a file object is a listening socket; false if the system does not tell."""
+    if not isinstance(fileobj, socket.socket):
+        return False
+    with contextlib.suppress(OSError):
+        return bool(fileobj.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN))
+    return False
--- a/tests/test_receive_timestamps.py
+++ b/tests/test_receive_timestamps.py
@@ -98,6 +98,16 @@
         self.assertGreater(min(ages[:3]), self.PAUSE_US)
         self.assertLess(max(ages[5:]), self.PAUSE_US)
 
+    def test_socket_that_does_not_tell_whether_it_listens_is_registered(self) -> None:
+        """Guards against a router that cannot start since the system refuses one question about a socket."""
+        reader, writer = socket.socketpair()
+        self.addCleanup(reader.close)
+        self.addCleanup(writer.close)
+        with unittest.mock.patch.object(socket.socket, "getsockopt", side_effect=OSError("not supported")):
+            key = self.selector.register(reader, selectors.EVENT_READ)
+        self.assertIs(self.selector.get_key(reader), key)
+        self.selector.unregister(reader)
+
     def test_connections_that_waited_to_be_accepted_are_as_old_as_a_pause(self) -> None:
         client = socket.create_connection(self.listener.getsockname())  # is never accepted
         self.addCleanup(client.close)
